--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -15,6 +15,8 @@
 
 constexpr millis tickPeriod{5};
 constexpr int serverErrorFirst = 500;
+/// Pass-through mode waits for an upstream whatever the caller's deadline is, as a plain proxy does.
+constexpr millis passThroughTimeout{60'000};
 
 /// Connections kept open beyond the upstream's limit, so that the limit can grow without a wait.
 constexpr double spareConnectionsShare = 0.25;
@@ -382,7 +384,8 @@
     request.fields.set(field::requestId, call.context.root);
     request.fields.set(field::klass, call.context.klass);
     request.fields.set(field::rank, std::to_string(call.context.place.rank));
-    m_pool.run(id, request, std::max(left, millis{1}));
+    const bool passThrough = m_settings.mode == policy_mode::none;
+    m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}));
 }
 
 /// Learns how the upstream answered a call.
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -34,6 +34,7 @@
     {"limit_decrease", &tunables::limitDecrease, 0.1, 1},
     {"limit_increase", &tunables::limitIncrease, 0, 1},
     {"baseline_drift", &tunables::baselineDrift, 0, 1},
+    {"baseline_fall", &tunables::baselineFall, 0, 1},
     {"cold_start_share", &tunables::coldStartShare, 0.01, 1},
     {"slow_start_increase", &tunables::slowStartIncrease, 0, 1},
     {"queue_share", &tunables::queueShare, 0, 100},
@@ -48,6 +49,7 @@
 
 constexpr tunable_span spans[] = {
     {"limit_window_ms", &tunables::limitWindow, 1, oneHourMs},
+    {"level_memory_ms", &tunables::levelMemory, 1, oneHourMs},
     {"level_window_ms", &tunables::levelWindow, 1, oneHourMs},
     {"level_report_life_ms", &tunables::levelReportLife, 1, oneHourMs},
     {"trip_to_other_domain_ms", &tunables::tripToOtherDomain, 0, oneHourMs},
--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -131,7 +131,8 @@
         message.fields.add(field::idempotencyKey, record.root);
     }
     request->client = takeClient(request->node);
-    request->client->send(message, left, [this, request](const http_outcome &outcome) { answered(request, outcome); });
+    const millis patience = caller.tryTimeout.count > 0 ? std::min(left, caller.tryTimeout) : left;
+    request->client->send(message, patience, [this, request](const http_outcome &outcome) { answered(request, outcome); });
 }
 
 void caller_load::answered(const request_ptr &request, const http_outcome &outcome)
--- a/bench/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -84,6 +84,7 @@
     caller.deadline = place.child("deadline_ms").span({1000}, 1, dayMs);
     caller.retries = place.child("retries").integer(0, 0, 100);
     caller.retryAfter = place.child("retry_after_ms").span({50}, 0, dayMs);
+    caller.tryTimeout = place.child("try_timeout_ms").span({0}, 0, dayMs);
     caller.onlyIn = place.child("only_in").text({});
     place.finish();
     read.callers.push_back(std::move(caller));
--- a/packages/policy/include/turmericspar/policy/limiter.h
+++ b/packages/policy/include/turmericspar/policy/limiter.h
@@ -35,6 +35,8 @@
 
 private:
     void correct(millis now);
+    void moveBaseline(millis latency, bool limited);
+    bool descentWasInVain(millis latency);
     void clampLimit();
 
     const tunables &m_tuning;
@@ -43,8 +45,8 @@
     int m_connections = 0;
     bool m_slowStart = false;
     millis m_baseline{0};
-    millis m_previousLatency{0};
-    double m_previousLimit = 0;
+    double m_descentLimit = 0; ///< limit at the start of the present fall; 0 if it does not fall
+    millis m_descentLatency{0}; ///< latency at that time
 
     // The present window
     millis m_windowStart{0};
--- a/packages/policy/include/turmericspar/policy/shed_level.h
+++ b/packages/policy/include/turmericspar/policy/shed_level.h
@@ -33,7 +33,7 @@
     /// Counts a call that came, whether or not it was let in.
     void arrived(const standing &place, millis now);
     /// Counts a call that was started.
-    void started() { ++m_started; }
+    void started(millis now);
     /// Tells how the upstream and its queue are now; call it at each change.
     /// @param waiting calls in the queue
     /// @param running calls at the upstream
@@ -50,22 +50,21 @@
     static constexpr int bucketCount = static_cast<int>(importanceEnd) * bucketsPerRank;
 
     void correct(millis now);
-    void raise();
+    double sustainable() const;
     void forget(millis now);
 
     const tunables &m_tuning;
     double m_level = 0;
     level_relaxer m_relaxer;
-    std::array<double, bucketCount> m_arrivals{};
+    std::array<double, bucketCount> m_arrivals{}; ///< by importance; old ones count less
+    double m_starts = 0; ///< in the same measure
     millis m_forgottenAt{0};
 
     // The present window
     millis m_windowStart{0};
-    std::size_t m_waitingLeast = 0;
+    std::size_t m_waitingMost = 0;
     double m_useSum = 0;
     int m_observations = 0;
-    int m_arrived = 0;
-    int m_started = 0;
 };
 
 /// A level that others told, which fades when it is not told again.
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -12,24 +12,27 @@
     // Concurrency limit of an upstream
     millis limitWindow{100}; ///< least time between two corrections
     int limitSamples = 10; ///< least number of answers between two corrections
-    double latencyTolerance = 1.3; ///< latency over its baseline that is not yet taken for queueing
+    double latencyTolerance = 1.15; ///< latency over its baseline that is not yet taken for queueing
     double limitDecrease = 0.9; ///< largest step down, as a factor
     double limitIncrease = 0.05; ///< step up, as a share of the limit
-    double baselineDrift = 0.02; ///< how fast the baseline follows a latency that stays higher
+    double baselineDrift = 0.02; ///< how fast the baseline follows a higher latency while the limit is not reached
+    double baselineFall = 0.2; ///< how fast the baseline follows a lower latency
+    double descentShare = 0.7; ///< share of its start to which the limit falls before the fall is judged
+    double descentRelief = 0.85; ///< share of the latency at the start of a fall that still counts as no relief
     double coldStartShare = 0.25; ///< first limit of a cold upstream, as a share of its slots
     double slowStartIncrease = 0.25; ///< step up until the first sign of queueing
 
     // Queue before an upstream
-    double queueShare = 1.0; ///< calls that may wait, as a share of the limit
+    double queueShare = 0.5; ///< calls that may wait, as a share of the limit
     int queueLeast = 4; ///< calls that may always wait
     double admittedQueueFactor = 2.0; ///< how much longer the queue is for calls of requests already admitted
     double serviceTimeMargin = 0.8; ///< share of the usual service time that a deadline must leave for a call to be started
 
     // Shed level
     millis levelWindow{50}; ///< time between two corrections
-    double levelHeadroom = 0.97; ///< share of the served rate that is let in while the queue stands
+    double levelHeadroom = 1.1; ///< arrivals that are let in, as a multiple of what is started
     double levelBusyShare = 0.9; ///< use of the limit from which an upstream counts as busy
-    millis levelMemory{1000}; ///< how long an arrival counts in the distribution of importance
+    millis levelMemory{300}; ///< how long an arrival counts in the distribution of importance
     double levelBlend = 0.3; ///< weight of a new report of a level among those before
     millis levelReportLife{150}; ///< how long a told level stands without a new report
 
--- a/packages/policy/src/entry.cpp
+++ b/packages/policy/src/entry.cpp
@@ -189,20 +189,29 @@
     }
 }
 
-void entry::abandon(call_id id, millis now, std::vector<entry_action> &actions)
+/// Tells the serving node that an attempt is of no use any more; pass-through mode lets it run on.
+void entry::cancelAttempt(call_id id, const pending_call &call, millis now, std::vector<entry_action> &actions)
 {
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end()) {
+    m_routes.done(call.node, false, {}, now);
+    if (m_mode == policy_mode::none) {
         return;
     }
-    const auto &call = found->second;
-    m_routes.done(call.node, false, {}, now);
     entry_action cancel;
     cancel.what = entry_action::verb::cancel;
     cancel.id = id;
     cancel.attempt = call.attempt;
     cancel.node = call.node;
     actions.push_back(std::move(cancel));
+}
+
+void entry::abandon(call_id id, millis now, std::vector<entry_action> &actions)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const auto &call = found->second;
+    cancelAttempt(id, call, now, actions);
     m_deadlines.erase({call.context.deadline, id});
     m_calls.erase(found);
 }
@@ -211,14 +220,7 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const call_id id = m_deadlines.begin()->second;
-        const auto &call = m_calls.at(id);
-        m_routes.done(call.node, false, {}, now);
-        entry_action cancel;
-        cancel.what = entry_action::verb::cancel;
-        cancel.id = id;
-        cancel.attempt = call.attempt;
-        cancel.node = call.node;
-        actions.push_back(std::move(cancel));
+        cancelAttempt(id, m_calls.at(id), now, actions);
         finish(id, call_outcome::unknown, refusal_reason::deadline, false, true, actions);
     }
 }
--- a/packages/policy/src/limiter.cpp
+++ b/packages/policy/src/limiter.cpp
@@ -41,16 +41,10 @@
 void limiter::correct(millis now)
 {
     const bool limited = m_runningMost >= limit() - 1;
-    const double limitBefore = m_limit;
     const millis latency = m_samples > 0 ? m_latencySum * (1.0 / m_samples) : m_baseline;
 
-    // Step 1. The baseline: the least latency seen, which follows when less load did not bring the latency down
-    const bool loweredInVain = m_limit < m_previousLimit && latency > m_previousLatency * ((1 + m_limit / m_previousLimit) / 2);
-    if (m_baseline.count == 0 || latency < m_baseline || loweredInVain) {
-        m_baseline = latency;
-    } else if (!limited) {
-        m_baseline += (latency - m_baseline) * m_tuning.baselineDrift;
-    }
+    // Step 1. The latency without queueing
+    moveBaseline(latency, limited);
 
     // Step 2. The limit
     const millis tolerated = m_baseline * m_tuning.latencyTolerance;
@@ -58,17 +52,25 @@
         m_limit *= m_tuning.limitDecrease;
         m_slowStart = false;
     } else if (latency > tolerated && limited) {
+        if (m_descentLimit == 0) {
+            m_descentLimit = m_limit;
+            m_descentLatency = latency;
+        }
         m_limit *= std::max(m_tuning.limitDecrease, tolerated / latency);
         m_slowStart = false;
-    } else if (limited && latency <= tolerated) {
+        if (descentWasInVain(latency)) {
+            m_baseline = latency;
+            m_limit = m_descentLimit;
+            m_descentLimit = 0;
+        }
+    } else if (limited) {
         const double share = m_slowStart ? m_tuning.slowStartIncrease : m_tuning.limitIncrease;
         m_limit += std::max(1.0, m_limit * share);
+        m_descentLimit = 0;
     }
     clampLimit();
 
     // Step 3. The next window
-    m_previousLimit = limitBefore;
-    m_previousLatency = latency;
     m_windowStart = now;
     m_latencySum = {0};
     m_samples = 0;
@@ -76,6 +78,30 @@
     m_runningMost = 0;
 }
 
+void limiter::moveBaseline(millis latency, bool limited)
+{
+    if (m_baseline.count == 0) {
+        m_baseline = latency;
+    } else if (latency < m_baseline) {
+        m_baseline += (latency - m_baseline) * m_tuning.baselineFall;
+    } else if (!limited) {
+        m_baseline += (latency - m_baseline) * m_tuning.baselineDrift;
+    }
+}
+
+/// @return whether the limit has fallen far and the latency has not: then the upstream is slower, not fuller.
+bool limiter::descentWasInVain(millis latency)
+{
+    if (m_descentLimit == 0 || m_limit > m_descentLimit * m_tuning.descentShare) {
+        return false;
+    }
+    if (latency > m_descentLatency * m_tuning.descentRelief) {
+        return true;
+    }
+    m_descentLimit = 0;
+    return false;
+}
+
 void limiter::clampLimit()
 {
     m_limit = std::clamp(m_limit, 1.0, static_cast<double>(m_connections));
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -142,7 +142,7 @@
 void serving::start(const waiting_call &call, millis now, std::vector<serving_action> &actions)
 {
     m_running.emplace(call.id, now);
-    m_level.started();
+    m_level.started(now);
     actions.push_back({serving_action::verb::start, call.id, refusal_reason::none});
 }
 
@@ -182,8 +182,12 @@
 
 void serving::tick(millis now, std::vector<serving_action> &actions)
 {
-    const millis margin = m_mode == policy_mode::full ? m_usualTime * m_tuning.serviceTimeMargin : millis{0};
-    while (const auto expired = m_queue.popExpired(now + margin)) {
+    const millis margin = m_usualTime * m_tuning.serviceTimeMargin;
+    while (m_mode == policy_mode::full) {
+        const auto expired = m_queue.popExpired(now + margin);
+        if (!expired) {
+            break;
+        }
         refuse(expired->id, refusal_reason::deadline, actions);
     }
     startWaiting(now, actions);
--- a/packages/policy/src/shed_level.cpp
+++ b/packages/policy/src/shed_level.cpp
@@ -29,14 +29,17 @@
     forget(now);
     const int bucket = std::clamp(static_cast<int>(place.importance() * bucketsPerRank), 0, bucketCount - 1);
     m_arrivals[static_cast<std::size_t>(bucket)] += 1;
-    if (place.importance() >= m_level) {
-        ++m_arrived;
-    }
+}
+
+void shed_level::started(millis now)
+{
+    forget(now);
+    m_starts += 1;
 }
 
 void shed_level::observe(std::size_t waiting, int running, int limit, millis now)
 {
-    m_waitingLeast = m_observations == 0 ? waiting : std::min(m_waitingLeast, waiting);
+    m_waitingMost = std::max(m_waitingMost, waiting);
     m_useSum += limit > 0 ? std::min(1.0, static_cast<double>(running) / limit) : 1.0;
     ++m_observations;
     if (now - m_windowStart >= m_tuning.levelWindow) {
@@ -44,56 +47,46 @@
     }
 }
 
-/// Ends a window: raises the level while a queue stands, lowers it while there is room.
+/// Ends a window: raises the level to what the upstream can sustain, and lowers it while more could be let in.
 void shed_level::correct(millis now)
 {
-    const double use = m_useSum / m_observations;
-    if (m_waitingLeast > 0) {
-        raise();
+    const bool busy = m_useSum / m_observations >= m_tuning.levelBusyShare;
+    const double bound = m_waitingMost > 0 && busy ? sustainable() : 0;
+    if (bound >= m_level && bound > 0) {
+        m_level = bound;
         m_relaxer.reset();
-    } else if (use < m_tuning.levelBusyShare) {
-        m_level = m_relaxer.relax(m_level);
     } else {
-        m_relaxer.reset();
-        m_level = m_relaxer.relax(m_level);
-        m_relaxer.reset();
+        if (busy) {
+            m_relaxer.reset();
+        }
+        m_level = std::max(bound, m_relaxer.relax(m_level));
     }
     m_windowStart = now;
+    m_waitingMost = 0;
     m_useSum = 0;
     m_observations = 0;
-    m_arrived = 0;
-    m_started = 0;
 }
 
-/// Moves the level to where only as many calls arrive above it as the upstream starts.
-void shed_level::raise()
+/// @return the importance above which as many calls arrive as are started, with some headroom for the queue to choose from;
+/// 0 if fewer than that arrive in all.
+double shed_level::sustainable() const
 {
-    if (m_arrived <= m_started || m_started == 0) {
-        return;
-    }
-    // Step 1. The share of the arrivals above the level that can be kept
-    const double share = m_tuning.levelHeadroom * m_started / m_arrived;
-    const auto first = static_cast<std::size_t>(m_level * bucketsPerRank);
+    const double wanted = m_starts * m_tuning.levelHeadroom;
     double above = 0;
-    for (std::size_t i = first; i < m_arrivals.size(); ++i) {
-        above += m_arrivals[i];
+    for (std::size_t bucket = m_arrivals.size(); bucket > 0; --bucket) {
+        above += m_arrivals[bucket - 1];
+        if (above > wanted) {
+            return static_cast<double>(bucket - 1) / bucketsPerRank;
+        }
     }
-
-    // Step 2. The bucket above which that share lies
-    double kept = 0;
-    std::size_t bucket = m_arrivals.size();
-    while (bucket > first && kept < above * share) {
-        --bucket;
-        kept += m_arrivals[bucket];
-    }
-    m_level = std::max(m_level, static_cast<double>(bucket) / bucketsPerRank);
+    return 0;
 }
 
-/// Lets old arrivals count less.
+/// Lets old arrivals and starts count less.
 void shed_level::forget(millis now)
 {
-    const double steps = (now - m_forgottenAt) / m_tuning.levelMemory;
     constexpr double forgetShare = 0.1;
+    const double steps = (now - m_forgottenAt) / m_tuning.levelMemory;
     if (steps < forgetShare) {
         return;
     }
@@ -102,6 +95,7 @@
     for (auto &count : m_arrivals) {
         count *= factor;
     }
+    m_starts *= factor;
 }
 
 void told_level::report(double level, millis now, const tunables &tuning)
