--- /dev/null
+++ b/apps/turmericsparctl/commands.cpp
@@ -0,0 +1,373 @@
+#include "commands.h"
+
+#include "turmericspar/base/secret.h"
+#include "turmericspar/policy/configuration.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace turmericspar {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t submissionBytes = 16;
+constexpr auto watchPause = std::chrono::milliseconds(200);
+constexpr int resubmissions = 5;
+constexpr auto resubmitPause = std::chrono::milliseconds(500);
+
+/// What a command works with.
+struct command_context
+{
+    const command_arguments &arguments;
+    const node_client &node;
+    bool asJson = false;
+
+    bool flag(const std::string &name) const { return arguments.at(name).asBool(); }
+    std::string text(const std::string &name, const std::string &fallback = {}) const
+    {
+        const auto &value = arguments.at(name);
+        return value ? value.asString() : fallback;
+    }
+};
+
+exit_code complain(const std::string &text, exit_code code = exit_code::failed)
+{
+    std::cerr << "turmericsparctl: " << text << '\n';
+    return code;
+}
+
+/// Prints rows in columns that line up.
+void printTable(const std::vector<std::vector<std::string>> &rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto &row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            widths[i] = std::max(widths[i], row[i].size());
+        }
+    }
+    for (const auto &row : rows) {
+        std::string line;
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            line += fmt::format("{:<{}}  ", row[i], widths[i]);
+        }
+        line.erase(line.find_last_not_of(' ') + 1);
+        std::cout << line << '\n';
+    }
+}
+
+/// Asks a node and hands a good answer on.
+template<class handler>
+exit_code ask(const command_context &context, const std::string &target, handler print)
+{
+    const auto answer = context.node.get(target);
+    if (!answer) {
+        return complain(answer.error().text());
+    }
+    if (answer->status != 200) {
+        return complain(answer->body.value("detail", answer->body.dump()));
+    }
+    if (context.asJson) {
+        std::cout << answer->body.dump(2) << '\n';
+        return exit_code::done;
+    }
+    print(answer->body);
+    return exit_code::done;
+}
+
+result<json> readDocument(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return failure{errc::not_found, "read file", path, {}};
+    }
+    auto parsed = json::parse(file, nullptr, false);
+    if (!parsed.is_object()) {
+        return failure{errc::invalid_document, "read file", path, "expected a JSON object"};
+    }
+    return parsed;
+}
+
+void printMistakes(const json &mistakes)
+{
+    for (const auto &mistake : mistakes) {
+        std::cerr << "  " << mistake["path"].get<std::string>() << ": " << mistake["allowed"].get<std::string>() << '\n';
+    }
+}
+
+/// A verdict word with the exit code that it means.
+struct verdict_code
+{
+    const char *word;
+    exit_code code;
+};
+constexpr verdict_code verdictCodes[] = {{"accepted", exit_code::done},
+                                         {"sound", exit_code::done},
+                                         {"conflict", exit_code::conflict},
+                                         {"invalid", exit_code::invalid},
+                                         {"not-known", exit_code::not_known}};
+
+exit_code codeFor(const std::string &verdict)
+{
+    for (const auto &known : verdictCodes) {
+        if (verdict == known.word) {
+            return known.code;
+        }
+    }
+    return exit_code::failed;
+}
+
+exit_code showVerdict(const command_context &context, const json &body)
+{
+    const auto verdict = body.value("verdict", std::string("refused"));
+    if (context.asJson) {
+        std::cout << body.dump(2) << '\n';
+    } else if (verdict == "accepted") {
+        std::cout << "version " << body["version"] << " is accepted\n";
+    } else if (verdict == "sound") {
+        std::cout << "the patch is sound; its effect:\n" << body["difference"].dump(2) << '\n';
+    } else {
+        std::cerr << "turmericsparctl: " << verdict << ": the present version is " << body.value("version", 0) << '\n';
+        printMistakes(body.value("mistakes", json::array()));
+    }
+    return codeFor(verdict);
+}
+
+/// Submits a patch. When it is not known whether it was accepted, the same submission is sent again, which can't apply twice.
+exit_code submit(const command_context &context, std::uint64_t base, const json &patch)
+{
+    const json submission{{"base", base},
+                          {"patch", patch},
+                          {"submission", context.text("--submission", toHex(randomBytes(submissionBytes)))},
+                          {"author", context.text("--author", "operator")},
+                          {"reason", context.text("--reason", "none given")},
+                          {"dry_run", context.flag("--dry-run")}};
+    for (int attempt = 0;; ++attempt) {
+        const auto answer = context.node.post("/v1/config/patch", submission);
+        const bool unclear = !answer || answer->status == 504;
+        if (unclear && attempt < resubmissions) {
+            std::this_thread::sleep_for(resubmitPause);
+            continue;
+        }
+        if (!answer) {
+            return complain(answer.error().text() + "; submission " + submission["submission"].get<std::string>(), exit_code::not_known);
+        }
+        if (!answer->body.contains("verdict")) {
+            return complain(answer->body.value("detail", answer->body.dump()));
+        }
+        return showVerdict(context, answer->body);
+    }
+}
+
+/// The merge patch that makes one document out of another.
+json mergePatchBetween(const json &from, const json &to)
+{
+    json patch = to;
+    for (const auto &[key, value] : from.items()) {
+        if (!to.contains(key)) {
+            patch[key] = nullptr;
+        } else if (value.is_object() && to[key].is_object()) {
+            patch[key] = mergePatchBetween(value, to[key]);
+        }
+    }
+    return patch;
+}
+
+exit_code configCreate(const command_context &context)
+{
+    const auto document = readDocument(context.text("FILE"));
+    if (!document) {
+        return complain(document.error().text(), exit_code::usage);
+    }
+    return submit(context, 0, mergePatchBetween(initialDocument(), *document));
+}
+
+exit_code configPatch(const command_context &context)
+{
+    const auto patch = readDocument(context.text("FILE"));
+    if (!patch) {
+        return complain(patch.error().text(), exit_code::usage);
+    }
+    return submit(context, static_cast<std::uint64_t>(context.arguments.at("--base").asLong()), *patch);
+}
+
+exit_code configShow(const command_context &context)
+{
+    return ask(context, "/v1/config", [](const json &body) {
+        std::cout << "version " << body["version"] << " (" << body["source"].get<std::string>() << ")\n" << body["document"].dump(2) << '\n';
+    });
+}
+
+exit_code configHistory(const command_context &context)
+{
+    return ask(context, "/v1/config/history", [](const json &body) {
+        std::vector<std::vector<std::string>> rows{{"VERSION", "TIME", "AUTHOR", "REASON", "PATCH"}};
+        for (const auto &record : body) {
+            rows.push_back({record["version"].dump(), record["time"], record["author"], record["reason"], record["patch"].dump()});
+        }
+        printTable(rows);
+    });
+}
+
+/// Rebuilds the document of a version from the whole history.
+std::optional<json> documentAt(const json &history, std::uint64_t version)
+{
+    json document = initialDocument();
+    std::uint64_t at = 0;
+    for (const auto &record : history) {
+        if (record["version"] != at + 1 || at == version) {
+            break;
+        }
+        document.merge_patch(record["patch"]);
+        ++at;
+    }
+    return at == version ? std::optional<json>(document) : std::nullopt;
+}
+
+exit_code configDiff(const command_context &context)
+{
+    const auto answer = context.node.get("/v1/config/history");
+    if (!answer) {
+        return complain(answer.error().text());
+    }
+    const auto from = documentAt(answer->body, static_cast<std::uint64_t>(context.arguments.at("FROM").asLong()));
+    const auto to = documentAt(answer->body, static_cast<std::uint64_t>(context.arguments.at("TO").asLong()));
+    if (!from || !to) {
+        return complain("the node's history does not hold these versions", exit_code::usage);
+    }
+    const auto difference = mergePatchBetween(*from, *to);
+    json changed = json::object();
+    for (const auto &[key, value] : difference.items()) {
+        if (!from->contains(key) || (*from)[key] != (to->contains(key) ? (*to)[key] : json())) {
+            changed[key] = value;
+        }
+    }
+    std::cout << changed.dump(2) << '\n';
+    return exit_code::done;
+}
+
+/// Makes the document of an earlier version the newest one, as a new version.
+exit_code configRollback(const command_context &context)
+{
+    const auto history = context.node.get("/v1/config/history");
+    const auto present = context.node.get("/v1/config");
+    if (!history || !present) {
+        return complain((history ? present : history).error().text());
+    }
+    const auto target = documentAt(history->body, static_cast<std::uint64_t>(context.arguments.at("--to").asLong()));
+    if (!target) {
+        return complain("the node's history does not reach back to this version", exit_code::usage);
+    }
+    return submit(context, present->body["version"].get<std::uint64_t>(), mergePatchBetween(present->body["document"], *target));
+}
+
+/// Shows a version take hold, until it is in force on every live node.
+exit_code configWatch(const command_context &context)
+{
+    const auto version = context.text("--version");
+    const auto timeout = std::chrono::milliseconds(context.arguments.at("--wait-ms").asLong());
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    for (;;) {
+        const auto answer = context.node.get("/v1/config/progress" + (version.empty() ? "" : "?version=" + version));
+        if (!answer) {
+            return complain(answer.error().text());
+        }
+        bool everywhere = true;
+        std::vector<std::vector<std::string>> rows{{"FAILURE DOMAIN", "LIVE", "IN FORCE", "LAGGARDS"}};
+        for (const auto &[name, domain] : answer->body["failure_domains"].items()) {
+            everywhere = everywhere && domain["live"] == domain["in_force"];
+            rows.push_back({name, domain["live"].dump(), domain["in_force"].dump(), domain["laggards"].dump()});
+        }
+        if (context.asJson) {
+            std::cout << answer->body.dump() << '\n';
+        } else {
+            std::cout << "version " << answer->body["version"] << (everywhere ? ": in force everywhere" : ": taking hold") << '\n';
+            printTable(rows);
+        }
+        if (everywhere) {
+            return exit_code::done;
+        }
+        if (std::chrono::steady_clock::now() > until) {
+            return complain("not in force everywhere yet");
+        }
+        std::this_thread::sleep_for(watchPause);
+    }
+}
+
+exit_code status(const command_context &context)
+{
+    return ask(context, "/v1/status", [](const json &body) {
+        std::vector<std::vector<std::string>> rows;
+        for (const auto &[key, value] : body.items()) {
+            if (key != "members") {
+                rows.push_back({key, value.is_string() ? value.get<std::string>() : value.dump()});
+            }
+        }
+        rows.push_back({"members", std::to_string(body["members"].size())});
+        printTable(rows);
+    });
+}
+
+exit_code upstreams(const command_context &context)
+{
+    return ask(context, "/v1/status", [](const json &body) {
+        std::vector<std::vector<std::string>> rows{{"SERVICE", "NODE", "NAME", "FAILURE DOMAIN", "STATE", "READY", "VERSION"}};
+        for (const auto &entry : body["members"]) {
+            rows.push_back(
+                {entry["service"], entry["node"], entry["name"], entry["failure_domain"], entry["state"], entry["ready"].dump(), entry["version"].dump()});
+        }
+        std::sort(rows.begin() + 1, rows.end());
+        printTable(rows);
+    });
+}
+
+exit_code drain(const command_context &context)
+{
+    const auto answer = context.node.post("/v1/drain", {{"draining", !context.flag("--undo")}});
+    if (!answer) {
+        return complain(answer.error().text());
+    }
+    std::cout << answer->body.dump() << '\n';
+    return answer->status == 200 ? exit_code::done : exit_code::failed;
+}
+
+/// A command by its words, and what runs it.
+struct command_entry
+{
+    const char *group; ///< "" if the word stands alone
+    const char *word;
+    exit_code (*run)(const command_context &);
+};
+
+constexpr command_entry commands[] = {{"config", "create", configCreate},
+                                      {"config", "patch", configPatch},
+                                      {"config", "show", configShow},
+                                      {"config", "history", configHistory},
+                                      {"config", "diff", configDiff},
+                                      {"config", "rollback", configRollback},
+                                      {"config", "watch", configWatch},
+                                      {"", "status", status},
+                                      {"", "upstreams", upstreams},
+                                      {"", "drain", drain}};
+
+} // namespace
+
+exit_code runCommand(const command_arguments &arguments, const node_client &node)
+{
+    const command_context context{arguments, node, arguments.at("--json").asBool()};
+    for (const auto &command : commands) {
+        const bool groupMatches = command.group[0] == '\0' || context.flag(command.group);
+        if (groupMatches && context.flag(command.word)) {
+            return command.run(context);
+        }
+    }
+    return complain("no such command", exit_code::usage);
+}
+
+} // namespace turmericspar
--- /dev/null
+++ b/apps/turmericsparctl/node_client.cpp
@@ -0,0 +1,45 @@
+#include "node_client.h"
+
+#include "turmericspar/base/http_call.h"
+
+namespace turmericspar {
+
+using nlohmann::json;
+
+node_client::node_client(endpoint node, std::string token, millis timeout) : m_node(std::move(node)), m_token(std::move(token)), m_timeout(timeout) { }
+
+result<node_answer> node_client::get(const std::string &target) const
+{
+    http_request request;
+    request.target = target;
+    return send(std::move(request));
+}
+
+result<node_answer> node_client::post(const std::string &target, const json &body) const
+{
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.fields.add("Content-Type", "application/json");
+    request.body = body.dump();
+    return send(std::move(request));
+}
+
+result<node_answer> node_client::send(http_request request) const
+{
+    request.fields.add("Authorization", "Bearer " + m_token);
+    const auto response = callAndWait(m_node, request, m_timeout);
+    if (!response) {
+        return response.error();
+    }
+    if (response->status == 401) {
+        return failure{errc::rejected, "speak to node", m_node.text(), "the node does not know this key"};
+    }
+    const auto parsed = json::parse(response->body, nullptr, false);
+    if (parsed.is_discarded()) {
+        return failure{errc::malformed_message, "speak to node", m_node.text(), "the answer is no JSON; is this an operators' port?"};
+    }
+    return node_answer{response->status, parsed};
+}
+
+} // namespace turmericspar
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -44,6 +44,8 @@
     context.retries = static_cast<int>(request.retries());
     context.deadline = now + millis{request.deadline_in_ms()};
     context.intent = request.once() ? call_intent::once : call_intent::repeatable;
+    context.onceKey = request.once_key();
+    context.permit = request.permit();
     return context;
 }
 
@@ -59,6 +61,7 @@
     , m_routes(settings.tuning, settings.domain, seed)
     , m_entry(settings.tuning, settings.mode, m_routes)
     , m_serving(settings.tuning, settings.mode)
+    , m_once(loop, m_self, seed, m_peers.once)
     , m_pool(loop, {}, [this](call_id id, http_outcome outcome) { ran(id, std::move(outcome)); })
     , m_tick(loop.every(tickPeriod, [this] { tick(); }))
 {
@@ -142,14 +145,59 @@
         act(actions);
     });
 
-    // Step 3. The decision
-    const call_context context = call.context;
+    // Step 3. What may be a resend of a request that may run at most once is looked into first
+    const bool keyed = call.context.intent == call_intent::once && !description.idempotencyKey.empty();
+    if (keyed) {
+        call.context.onceKey = description.idempotencyKey;
+    }
     m_entering.emplace(id, std::move(call));
+    if (keyed && !description.firstAttempt && m_settings.mode == policy_mode::full) {
+        m_once.judge(description.service, description.idempotencyKey, [this, id](const once_ruling &ruling) { ruled(id, ruling); });
+    } else {
+        submit(id);
+    }
+}
+
+void call_path::submit(call_id id)
+{
+    const auto found = m_entering.find(id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    const auto service = found->second.service;
+    const auto context = found->second.context;
     std::vector<entry_action> actions;
-    m_entry.submit(id, description.service, context, now, actions);
+    m_entry.submit(id, service, context, monotonicNow(), actions);
     act(actions);
 }
 
+/// Acts on what an inquiry found about the key of a call.
+void call_path::ruled(call_id id, const once_ruling &ruling)
+{
+    const auto found = m_entering.find(id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    if (ruling.verdict == inquiry_verdict::run) {
+        found->second.context.permit = ruling.permit;
+        submit(id);
+        return;
+    }
+    entry_action action;
+    action.what = entry_action::verb::finish;
+    action.id = id;
+    action.outcome = call_outcome::unknown;
+    action.reason = ruling.verdict == inquiry_verdict::in_doubt ? refusal_reason::in_doubt : refusal_reason::duplicate;
+    auto answer = std::make_unique<wire::CallReply>();
+    if (ruling.verdict == inquiry_verdict::finished && answer->ParseFromString(ruling.answer) && answer->status() != 0) {
+        action.outcome = call_outcome::ran;
+        action.reason = refusal_reason::none;
+        action.useAnswer = true;
+        found->second.answer = std::move(answer);
+    }
+    finish(action);
+}
+
 void call_path::act(const std::vector<entry_action> &actions)
 {
     for (const auto &action : actions) {
@@ -202,6 +250,8 @@
     out.set_depth(static_cast<std::uint32_t>(context.depth));
     out.set_retries(static_cast<std::uint32_t>(context.retries));
     out.set_once(context.intent == call_intent::once);
+    out.set_once_key(context.onceKey);
+    out.set_permit(context.permit);
     out.set_method(request.method);
     out.set_target(request.target);
     out.set_body(request.body);
@@ -375,6 +425,9 @@
     const millis now = monotonicNow();
     call.startedAt = now;
     m_ledger.open(id, call.context);
+    if (!mayBegin(id, call)) {
+        return;
+    }
     const millis left = call.context.deadline - now;
     auto request = std::move(call.request);
     removeCallFields(request.fields);
@@ -388,6 +441,52 @@
     m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}));
 }
 
+/// Checks the key of a call that may run at most once, and answers in its place if it may not begin.
+bool call_path::mayBegin(call_id id, const served_call &call)
+{
+    const auto &key = call.context.onceKey;
+    if (key.empty() || m_settings.mode == policy_mode::none) {
+        return true;
+    }
+    wire::CallReply reply;
+    reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
+    reply.set_reason(static_cast<std::uint32_t>(refusal_reason::duplicate));
+    switch (m_once.begin(key, call.context.permit)) {
+    case key_admission::run:
+        return true;
+    case key_admission::finished:
+        if (!reply.ParseFromString(m_once.answer(key)) || reply.status() == 0) {
+            reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
+            reply.set_reason(static_cast<std::uint32_t>(refusal_reason::duplicate));
+        }
+        break;
+    case key_admission::running:
+    case key_admission::barred:
+        break;
+    case key_admission::no_memory:
+        reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
+        reply.set_reason(static_cast<std::uint32_t>(refusal_reason::in_doubt));
+        break;
+    }
+    // The call is still being started: its end is told in a turn of its own.
+    m_loop.defer([this, id, reply = std::make_shared<wire::CallReply>(std::move(reply))] { endServed(id, std::move(*reply), key_note::none); });
+    return false;
+}
+
+/// Notes in the table of keys how a call ended.
+void call_path::noteKey(const served_call &call, const wire::CallReply &reply)
+{
+    const auto &key = call.context.onceKey;
+    if (key.empty() || m_settings.mode == policy_mode::none) {
+        return;
+    }
+    if (reply.outcome() == static_cast<std::uint32_t>(call_outcome::not_run)) {
+        m_once.withdraw(key);
+    } else {
+        m_once.finish(key, reply.SerializeAsString());
+    }
+}
+
 /// Learns how the upstream answered a call.
 void call_path::ran(call_id id, http_outcome outcome)
 {
@@ -408,11 +507,11 @@
         fieldsToWire(outcome.response.fields, reply);
         reply.set_body(std::move(outcome.response.body));
     }
-    endServed(id, std::move(reply));
+    endServed(id, std::move(reply), key_note::ended);
 }
 
 /// Ends a call that was started, whatever its end, and answers its origin.
-void call_path::endServed(call_id id, wire::CallReply reply)
+void call_path::endServed(call_id id, wire::CallReply reply, key_note note)
 {
     const auto found = m_served.find(id);
     if (found == m_served.end()) {
@@ -422,6 +521,9 @@
     m_served.erase(found);
     m_servedByOrigin.erase({call.origin.from, call.origin.call});
     const millis now = monotonicNow();
+    if (note == key_note::ended) {
+        noteKey(call, reply);
+    }
 
     // Step 1. The calls that it made and that still run are of no use any more
     const auto summary = m_ledger.close(id, now);
@@ -480,7 +582,7 @@
     wire::CallReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
     reply.set_reason(static_cast<std::uint32_t>(refusal_reason::cancelled));
-    endServed(id, std::move(reply));
+    endServed(id, std::move(reply), key_note::ended);
 }
 
 void call_path::cancelled(const link_identity &from, const wire::CallCancel &cancel)
@@ -543,6 +645,9 @@
 void call_path::announced(const announcement &said)
 {
     const bool isNew = m_service.empty() || said.address != m_said.address || said.service != m_said.service;
+    if (!m_said.service.empty() && said.service != m_said.service) {
+        m_once.forgetAll();
+    }
     m_said = said;
     m_service = said.service;
     m_serving.announce(said.slots, said.connections, said.cold);
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -4,6 +4,7 @@
 
 #include "call_metrics.h"
 #include "node_settings.h"
+#include "once_guard.h"
 #include "turmericspar/base/event_loop.h"
 #include "turmericspar/base/http_server.h"
 #include "turmericspar/caller/call_fields.h"
@@ -30,6 +31,7 @@
     std::function<void(const node_id &, wire::CallRequest, millis deadline)> sendRequest;
     std::function<void(const node_id &, const wire::CallCancel &)> sendCancel;
     std::function<void(const link_identity &, wire::CallReply &&)> sendReply;
+    once_guard_peers once;
 };
 
 /// A glance at the path, for operators.
@@ -53,6 +55,7 @@
     ~call_path();
 
     routing &routes() { return m_routes; }
+    once_guard &onceKeys() { return m_once; }
     call_metrics &metrics() { return m_metrics; }
 
     // From callers
@@ -117,6 +120,13 @@
         millis startedAt;
     };
 
+    /// Whether the end of a call is the end of a run of its key.
+    enum class key_note { none, ended };
+
+    void submit(call_id id);
+    void ruled(call_id id, const once_ruling &ruling);
+    bool mayBegin(call_id id, const served_call &call);
+    void noteKey(const served_call &call, const wire::CallReply &reply);
     void enter(const http_exchange_ptr &exchange, const call_description &description);
     void refuseAtOnce(const http_exchange_ptr &exchange, const std::string &service, int rank, refusal_reason reason, const std::string &detail);
     void act(const std::vector<entry_action> &actions);
@@ -128,7 +138,7 @@
     void serve(served_origin origin, call_context context, http_request request);
     void start(call_id id);
     void ran(call_id id, http_outcome outcome);
-    void endServed(call_id id, wire::CallReply reply);
+    void endServed(call_id id, wire::CallReply reply, key_note note);
     void refuseServed(call_id id, refusal_reason reason);
     void cancelServed(call_id id);
     void answerOrigin(const served_origin &origin, wire::CallReply &&reply);
@@ -150,6 +160,7 @@
     serving m_serving;
     chain_ledger m_ledger;
     call_metrics m_metrics;
+    once_guard m_once;
     upstream_pool m_pool;
     call_id m_nextCall = 1;
     std::unordered_map<call_id, entering_call> m_entering;
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -164,6 +164,8 @@
     peers.sendRequest = [this](const node_id &node, wire::CallRequest request, millis deadline) { m_links.sendRequest(node, std::move(request), deadline); };
     peers.sendCancel = [this](const node_id &node, const wire::CallCancel &cancel) { m_links.sendCancel(node, cancel); };
     peers.sendReply = [this](const link_identity &to, wire::CallReply &&reply) { m_links.reply(to, std::move(reply)); };
+    peers.once.ask = [this](const node_id &node, const wire::OnceAsk &ask) { m_links.askOnce(node, ask); };
+    peers.once.answer = [this](const link_identity &to, wire::OnceAnswer &&answer) { m_links.answerOnce(to, std::move(answer)); };
     return peers;
 }
 
@@ -179,6 +181,8 @@
     handlers.onConfigPush = [this](const wire::ConfigPush &push) { m_control.configPushed(push); };
     handlers.onMemberPull = [this](const link_identity &from) { m_control.membersPulled(from); };
     handlers.onMemberPush = [this](const wire::MemberPush &push) { m_control.membersPushed(push); };
+    handlers.onOnceAsk = [this](const link_identity &from, const wire::OnceAsk &ask) { m_calls.onceKeys().asked(from, ask); };
+    handlers.onOnceAnswer = [this](const node_id &from, const wire::OnceAnswer &answer) { m_calls.onceKeys().answered(from, answer); };
     return handlers;
 }
 
@@ -218,6 +222,7 @@
 /// Follows the member table with the routing table.
 void node_daemon::memberChanged(const member &entry)
 {
+    m_calls.onceKeys().sawMember(entry);
     if (entry.service.empty()) {
         return;
     }
--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -69,6 +69,7 @@
         record.caller = arriving.caller;
         // The clock of a request starts when it was due, not when this loop came to it.
         record.at = arriving.at;
+        record.key = makeKey();
         auto request = std::make_shared<request_state>();
         request->record = m_next;
         request->deadline = m_startedAt + arriving.at + caller.deadline;
@@ -83,6 +84,16 @@
     }
 }
 
+/// Makes a UUID of version 7 (RFC 9562): the time in milliseconds, then random bits.
+std::string caller_load::makeKey()
+{
+    const auto time = static_cast<std::uint64_t>(wallNow().count);
+    const std::uint64_t high = m_random();
+    const std::uint64_t low = m_random();
+    return fmt::format(
+        "{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}", time >> 16U, time & 0xffffU, high & 0xfffU, 0x8000U | (high >> 52U & 0x3fffU), low & 0xffffffffffffU);
+}
+
 std::size_t caller_load::pickNode(const trace_caller &caller)
 {
     for (;;) {
@@ -128,7 +139,10 @@
         message.fields.add(field::klass, caller.klass);
     }
     if (caller.method == "POST") {
-        message.fields.add(field::idempotencyKey, record.root);
+        message.fields.add(field::idempotencyKey, record.key);
+        if (record.tries == 1) {
+            message.fields.add(field::attempt, "1");
+        }
     }
     request->client = takeClient(request->node);
     const millis patience = caller.tryTimeout.count > 0 ? std::min(left, caller.tryTimeout) : left;
--- a/bench/replay/caller_load.h
+++ b/bench/replay/caller_load.h
@@ -18,6 +18,7 @@
 struct request_record
 {
     std::string root;
+    std::string key; ///< for requests that may run at most once
     std::size_t caller = 0; ///< its place in the trace's list
     millis at; ///< since the start of the load
     millis latency; ///< to the whole answer, or to the deadline
@@ -59,6 +60,7 @@
     void judge(const request_ptr &request, const http_outcome &outcome);
     void retryOrEnd(const request_ptr &request);
     void end(const request_ptr &request);
+    std::string makeKey();
     std::size_t pickNode(const trace_caller &caller);
     std::unique_ptr<http_client> takeClient(std::size_t node);
 
--- a/packages/caller/include/turmericspar/caller/call_fields.h
+++ b/packages/caller/include/turmericspar/caller/call_fields.h
@@ -20,6 +20,7 @@
 inline constexpr const char *requestId = "X-Request-Id";
 inline constexpr const char *priority = "Priority";
 inline constexpr const char *idempotencyKey = "Idempotency-Key";
+inline constexpr const char *attempt = "Call-Attempt";
 inline constexpr const char *outcome = "Call-Outcome";
 inline constexpr const char *reason = "Call-Reason";
 inline constexpr const char *refusedBy = "Call-Refused-By";
@@ -41,6 +42,7 @@
     std::optional<millis> timeout; ///< if the caller names one
     millis classDeadline; ///< of the class
     call_intent intent = call_intent::repeatable;
+    bool firstAttempt = false; ///< whether the caller declares that it has not sent this request before
 };
 
 /// Why a call can't be accepted.
--- a/packages/caller/src/call_fields.cpp
+++ b/packages/caller/src/call_fields.cpp
@@ -101,6 +101,8 @@
         mistake = call_mistake{refusal_reason::malformed, "request ids, contexts and keys have at most 200 characters"};
     }
 
+    call.firstAttempt = request.fields.get(field::attempt) == "1";
+
     // Step 4. Whether it may be repeated
     call.intent = readIntent(request, declared, call.service, mistake);
     return call;
@@ -118,6 +120,8 @@
         return 401;
     case refusal_reason::duplicate:
         return 409;
+    case refusal_reason::in_doubt:
+        return 503;
     case refusal_reason::suspect:
         return 422;
     case refusal_reason::deadline:
--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -24,6 +24,8 @@
 class ConfigPush;
 class LinkMessage;
 class MemberPush;
+class OnceAnswer;
+class OnceAsk;
 } // namespace wire
 
 /// Names the sender of a message on the listening socket, to answer it.
@@ -43,6 +45,8 @@
     std::function<void(const wire::ConfigPush &)> onConfigPush;
     std::function<void(const link_identity &)> onMemberPull;
     std::function<void(const wire::MemberPush &)> onMemberPush;
+    std::function<void(const link_identity &, const wire::OnceAsk &)> onOnceAsk;
+    std::function<void(const node_id &, const wire::OnceAnswer &)> onOnceAnswer;
 };
 
 /// Numbers of the links.
@@ -75,10 +79,12 @@
     void sendCancel(const node_id &node, const wire::CallCancel &cancel);
     void pullConfig(const node_id &node, std::uint64_t have);
     void pullMembers(const node_id &node);
+    void askOnce(const node_id &node, const wire::OnceAsk &ask);
 
     void reply(const link_identity &to, wire::CallReply &&reply);
     void pushConfig(const link_identity &to, wire::ConfigPush &&push);
     void pushMembers(const link_identity &to, wire::MemberPush &&push);
+    void answerOnce(const link_identity &to, wire::OnceAnswer &&answer);
 
     /// @return whether a request is meant for this life of the node and has not expired.
     bool isCurrent(const wire::CallRequest &request) const;
@@ -97,6 +103,7 @@
     peer &peerFor(const node_id &node);
     void connect(peer &target);
     void send(peer &target, const wire::LinkMessage &message);
+    void sendWhenWelcome(const node_id &node, wire::LinkMessage &&message);
     void flush(peer &target);
     void heartbeat();
     void drop(const node_id &node, bool failedToOpen);
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -308,17 +308,26 @@
 {
     wire::LinkMessage message;
     message.mutable_config_pull()->set_have(have);
-    auto &target = peerFor(node);
-    target.queuedOthers.push_back(std::move(message));
-    if (target.welcomed) {
-        flush(target);
-    }
+    sendWhenWelcome(node, std::move(message));
 }
 
 void node_link::pullMembers(const node_id &node)
 {
     wire::LinkMessage message;
     message.mutable_member_pull();
+    sendWhenWelcome(node, std::move(message));
+}
+
+void node_link::askOnce(const node_id &node, const wire::OnceAsk &ask)
+{
+    wire::LinkMessage message;
+    *message.mutable_once_ask() = ask;
+    sendWhenWelcome(node, std::move(message));
+}
+
+/// Sends a message that is no call as soon as the node has answered the hello.
+void node_link::sendWhenWelcome(const node_id &node, wire::LinkMessage &&message)
+{
     auto &target = peerFor(node);
     target.queuedOthers.push_back(std::move(message));
     if (target.welcomed) {
@@ -410,6 +419,9 @@
     case wire::LinkMessage::kMemberPush:
         m_handlers.onMemberPush(message.member_push());
         break;
+    case wire::LinkMessage::kOnceAnswer:
+        m_handlers.onOnceAnswer(source.node, message.once_answer());
+        break;
     default:
         break;
     }
@@ -449,6 +461,9 @@
     case wire::LinkMessage::kMemberPull:
         m_handlers.onMemberPull(from);
         break;
+    case wire::LinkMessage::kOnceAsk:
+        m_handlers.onOnceAsk(from, message.once_ask());
+        break;
     default:
         break;
     }
@@ -480,6 +495,13 @@
     sendRouter(to, message);
 }
 
+void node_link::answerOnce(const link_identity &to, wire::OnceAnswer &&answer)
+{
+    wire::LinkMessage message;
+    *message.mutable_once_answer() = std::move(answer);
+    sendRouter(to, message);
+}
+
 bool node_link::isCurrent(const wire::CallRequest &request) const
 {
     return request.incarnation() == m_incarnation && request.expires_at_ms() > monotonicNow().count;
--- a/packages/policy/include/turmericspar/policy/call.h
+++ b/packages/policy/include/turmericspar/policy/call.h
@@ -40,8 +40,9 @@
     broken, ///< the connection broke while it ran
     shed_by_upstream, ///< the upstream itself refused it
     shutting_down,
+    in_doubt, ///< it may have run where nobody can be asked
 };
-inline constexpr name_table<refusal_reason, 17> refusalNames{{"none",
+inline constexpr name_table<refusal_reason, 18> refusalNames{{"none",
                                                               "overload",
                                                               "deadline",
                                                               "draining",
@@ -57,7 +58,8 @@
                                                               "unreachable",
                                                               "broken",
                                                               "shed-by-upstream",
-                                                              "shutting-down"}};
+                                                              "shutting-down",
+                                                              "in-doubt"}};
 
 /// What the caller says about running a request twice.
 enum class call_intent {
@@ -93,6 +95,8 @@
     int retries = 0; ///< retries that are left for it and all calls below it
     millis deadline; ///< on the local clock
     call_intent intent = call_intent::repeatable;
+    std::string onceKey; ///< of a call that may run at most once; empty if it has none
+    std::uint64_t permit = 0; ///< the inquiry that found the key clear; 0 for a declared first attempt
 };
 
 } // namespace turmericspar
--- a/packages/policy/src/entry.cpp
+++ b/packages/policy/src/entry.cpp
@@ -96,6 +96,7 @@
     case refusal_reason::unreachable:
     case refusal_reason::no_upstream:
     case refusal_reason::shutting_down:
+    case refusal_reason::in_doubt:
         return true;
     case refusal_reason::overload:
     case refusal_reason::shed_by_upstream:
--- /dev/null
+++ b/packages/policy/src/once.cpp
@@ -0,0 +1,234 @@
+#include "turmericspar/policy/once.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace turmericspar {
+
+namespace {
+
+constexpr std::size_t uuidLength = 36;
+constexpr std::size_t versionPosition = 14;
+constexpr std::size_t timeDigits = 12;
+constexpr std::size_t entryOverhead = 160; ///< bytes that an entry takes beside its texts
+
+} // namespace
+
+std::optional<millis> keyTime(const std::string &key)
+{
+    if (key.size() != uuidLength || key[versionPosition] != '7') {
+        return std::nullopt;
+    }
+    double time = 0;
+    std::size_t digits = 0;
+    for (std::size_t i = 0; i < uuidLength; ++i) {
+        const bool isDash = i == 8 || i == 13 || i == 18 || i == 23;
+        const char c = static_cast<char>(std::tolower(static_cast<unsigned char>(key[i])));
+        if (isDash ? c != '-' : std::isxdigit(static_cast<unsigned char>(c)) == 0) {
+            return std::nullopt;
+        }
+        if (!isDash && digits < timeDigits) {
+            time = time * 16 + (c <= '9' ? c - '0' : c - 'a' + 10);
+            ++digits;
+        }
+    }
+    return millis{time};
+}
+
+once_table::once_table(const once_tunables &tuning, millis wallNow) : m_tuning(tuning), m_memorySince(wallNow) { }
+
+/// @return whether an absent key is known never to have been here: the memory reaches back to before it was made.
+/// @param opaqueMemory how far back it must reach for a key that does not tell its time
+bool once_table::remembers(const std::string &key, millis opaqueMemory, millis wallNow) const
+{
+    const auto made = keyTime(key);
+    const bool plausible = made && *made <= wallNow + m_tuning.clockSkew;
+    if (plausible) {
+        return *made >= m_memorySince + m_tuning.clockSkew;
+    }
+    return wallNow - m_memorySince >= opaqueMemory;
+}
+
+key_admission once_table::begin(const std::string &key, inquiry_id permit, millis wallNow)
+{
+    evict(wallNow);
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        // A permit without its bar means that the bar was forgotten here.
+        if (permit != 0 || !remembers(key, m_tuning.opaqueLateness, wallNow)) {
+            return key_admission::no_memory;
+        }
+        add(key, state::running, 0, wallNow);
+        return key_admission::run;
+    }
+    auto &known = found->second;
+    switch (known.what) {
+    case state::running:
+        return key_admission::running;
+    case state::finished:
+        return key_admission::finished;
+    case state::barred:
+        break;
+    }
+    const bool permitted = permit != 0 && known.inquiry == permit && wallNow - known.barredAt < m_tuning.permitLife;
+    if (!permitted) {
+        return key_admission::barred;
+    }
+    known.what = state::running;
+    return key_admission::run;
+}
+
+void once_table::finish(const std::string &key, std::string answer, millis wallNow)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.what != state::running) {
+        return;
+    }
+    found->second.what = state::finished;
+    m_bytes += answer.size();
+    found->second.answer = std::move(answer);
+    evict(wallNow);
+}
+
+void once_table::withdraw(const std::string &key)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.what != state::running) {
+        return;
+    }
+    if (found->second.inquiry != 0) {
+        // Its bar stays, and can't be used again.
+        found->second.what = state::barred;
+        found->second.inquiry = 0;
+    } else {
+        forget(key);
+    }
+}
+
+key_finding once_table::inquire(const std::string &key, inquiry_id inquiry, millis wallNow)
+{
+    evict(wallNow);
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        const bool known = remembers(key, m_tuning.keyLife, wallNow);
+        add(key, state::barred, known ? inquiry : 0, wallNow);
+        return known ? key_finding::clear : key_finding::no_memory;
+    }
+    auto &known = found->second;
+    switch (known.what) {
+    case state::running:
+        return key_finding::running;
+    case state::finished:
+        return key_finding::finished;
+    case state::barred:
+        break;
+    }
+    if (known.inquiry == inquiry) {
+        return key_finding::clear;
+    }
+    // A bar by a node that did not remember stays in doubt for as long as it is kept.
+    if (known.inquiry == 0 && !remembers(key, m_tuning.keyLife, wallNow)) {
+        return key_finding::no_memory;
+    }
+    if (known.inquiry != 0 && wallNow - known.barredAt < m_tuning.permitLife) {
+        return key_finding::contested;
+    }
+    known.inquiry = inquiry;
+    known.barredAt = wallNow;
+    return key_finding::clear;
+}
+
+const std::string &once_table::answer(const std::string &key) const
+{
+    static const std::string none;
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? none : found->second.answer;
+}
+
+void once_table::clear(millis wallNow)
+{
+    m_entries.clear();
+    m_byAge.clear();
+    m_bytes = 0;
+    m_memorySince = wallNow;
+}
+
+once_table::entry &once_table::add(const std::string &key, state what, inquiry_id inquiry, millis wallNow)
+{
+    m_byAge.emplace(wallNow, key);
+    m_bytes += key.size() + entryOverhead;
+    return m_entries.emplace(key, entry{what, inquiry, wallNow, wallNow, {}}).first->second;
+}
+
+/// Forgets the oldest keys, by age and by size; the memory then begins after them.
+void once_table::evict(millis wallNow)
+{
+    while (!m_byAge.empty()) {
+        const auto oldest = m_byAge.begin();
+        const bool tooOld = wallNow - oldest->first > m_tuning.keyLife;
+        if (!tooOld && m_bytes <= m_tuning.bytesMax) {
+            return;
+        }
+        const auto key = oldest->second;
+        m_memorySince = std::max(m_memorySince, oldest->first);
+        m_byAge.erase(oldest);
+        const auto found = m_entries.find(key);
+        if (found != m_entries.end()) {
+            m_bytes -= key.size() + entryOverhead + found->second.answer.size();
+            m_entries.erase(found);
+        }
+    }
+}
+
+void once_table::forget(const std::string &key)
+{
+    const auto found = m_entries.find(key);
+    const auto [first, last] = m_byAge.equal_range(found->second.addedAt);
+    const auto aged = std::find_if(first, last, [&](const auto &item) { return item.second == key; });
+    if (aged != last) {
+        m_byAge.erase(aged);
+    }
+    m_bytes -= key.size() + entryOverhead + found->second.answer.size();
+    m_entries.erase(found);
+}
+
+once_inquiry::once_inquiry(std::set<node_id> nodes, bool unreachable) : m_nodes(std::move(nodes)), m_unreachable(unreachable) { }
+
+std::vector<node_id> once_inquiry::takeToAsk()
+{
+    std::vector<node_id> fresh;
+    std::set_difference(m_nodes.begin(), m_nodes.end(), m_asked.begin(), m_asked.end(), std::back_inserter(fresh));
+    m_asked = m_nodes;
+    return fresh;
+}
+
+void once_inquiry::answered(const node_id &node, key_finding finding, const std::vector<node_id> &others)
+{
+    m_answers[node] = finding;
+    m_nodes.insert(others.begin(), others.end());
+}
+
+inquiry_verdict once_inquiry::verdict() const
+{
+    bool doubt = m_unreachable || m_nodes.empty();
+    for (const auto &[node, finding] : m_answers) {
+        switch (finding) {
+        case key_finding::running:
+            return inquiry_verdict::running;
+        case key_finding::finished:
+            return inquiry_verdict::finished;
+        case key_finding::contested:
+        case key_finding::no_memory:
+            doubt = true;
+            break;
+        case key_finding::clear:
+            break;
+        }
+    }
+    if (m_answers.size() < m_nodes.size()) {
+        return inquiry_verdict::waiting;
+    }
+    return doubt ? inquiry_verdict::in_doubt : inquiry_verdict::run;
+}
+
+} // namespace turmericspar
