A limit that judges its falls, windows by standard error, ideals that know what goes wrong

Cause: at 2x the limit of one upstream fell from 35 to 13 (a window of 10 samples has 9% noise, the baseline followed the low side of it); upstreams that announce 200 slots and have 35 were believed; cold upstreams began at a quarter. Change: tolerance counts standard errors; a fall goes by Little's law and is judged two latencies after it is deep; calls that wait inside an upstream below its limit lower the limit too; a cold upstream begins at its slots; windows of small limits are shorter. The ideal of a trace takes slow, failing, crashed and cold upstreams into account.

--- a/apps/turmericsparctl/commands.cpp
+++ b/apps/turmericsparctl/commands.cpp
@@ -165,20 +165,6 @@
     }
 }
 
-/// The merge patch that makes one document out of another.
-json mergePatchBetween(const json &from, const json &to)
-{
-    json patch = to;
-    for (const auto &[key, value] : from.items()) {
-        if (!to.contains(key)) {
-            patch[key] = nullptr;
-        } else if (value.is_object() && to[key].is_object()) {
-            patch[key] = mergePatchBetween(value, to[key]);
-        }
-    }
-    return patch;
-}
-
 exit_code configCreate(const command_context &context)
 {
     const auto document = readDocument(context.text("FILE"));
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -56,6 +56,7 @@
 
     routing &routes() { return m_routes; }
     once_guard &onceKeys() { return m_once; }
+    const once_guard &onceKeys() const { return m_once; }
     call_metrics &metrics() { return m_metrics; }
 
     // From callers
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -233,7 +233,7 @@
 
 bool node_daemon::ready() const
 {
-    return m_control.settled() && !m_shuttingDown;
+    return m_control.settled() && m_calls.onceKeys().remembersFreshKeys() && !m_shuttingDown;
 }
 
 /// Begins a graceful shutdown: no new work, the others are told, and what is in flight is finished.
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -32,8 +32,10 @@
 constexpr tunable_number numbers[] = {
     {"latency_tolerance", &tunables::latencyTolerance, 1, 10},
     {"limit_decrease", &tunables::limitDecrease, 0.1, 1},
+    {"limit_decrease_most", &tunables::limitDecreaseMost, 0.1, 1},
     {"limit_increase", &tunables::limitIncrease, 0, 1},
-    {"baseline_drift", &tunables::baselineDrift, 0, 1},
+    {"baseline_blend", &tunables::baselineBlend, 0, 1},
+    {"noise_tolerance", &tunables::noiseTolerance, 0, 100},
     {"baseline_fall", &tunables::baselineFall, 0, 1},
     {"cold_start_share", &tunables::coldStartShare, 0.01, 1},
     {"slow_start_increase", &tunables::slowStartIncrease, 0, 1},
--- a/apps/turmericspard/once_guard.h
+++ b/apps/turmericspard/once_guard.h
@@ -56,6 +56,8 @@
     /// Follows the member table: who serves a service, or did.
     void sawMember(const member &entry);
 
+    /// @return whether a request made now, by any clock within the allowed skew, may run here.
+    bool remembersFreshKeys() const { return m_table.remembersFresh(wallNow()); }
     std::size_t keyCount() const { return m_table.size(); }
     std::size_t tableBytes() const { return m_table.bytes(); }
 
--- a/bench/replay/run.cpp
+++ b/bench/replay/run.cpp
@@ -3,6 +3,7 @@
 #include "store_standin.h"
 #include "turmericspar/base/http_call.h"
 #include "turmericspar/base/secret.h"
+#include "turmericspar/policy/configuration.h"
 
 #include <atomic>
 #include <fmt/format.h>
@@ -79,7 +80,12 @@
             return;
         }
         const millis now = monotonicNow() - millis{m_eventsFrom};
-        m_state.resize(m_plan.events.size());
+        if (m_state.empty()) {
+            for (auto &upstream : upstreams) {
+                upstream->beginCold();
+            }
+            m_state.resize(m_plan.events.size() + 1);
+        }
         for (std::size_t i = 0; i < m_plan.events.size(); ++i) {
             const auto &event = m_plan.events[i];
             if (m_state[i] == 0 && now >= event.at) {
@@ -195,6 +201,9 @@
 
 bool everyUpstreamIsReady(const json &status, std::size_t count)
 {
+    if (!status["ready"].get<bool>()) {
+        return false;
+    }
     std::size_t ready = 0;
     for (const auto &entry : status["members"]) {
         ready += entry["ready"].get<bool>() && entry["state"] == "alive" ? 1 : 0;
@@ -205,7 +214,11 @@
 /// Submits the trace's configuration and waits until it is in force on every node.
 result<bool> configure(const trace &plan, const std::vector<node_addresses> &nodes, const std::string &token)
 {
-    const json submission{{"base", 0}, {"patch", plan.configuration}, {"submission", "replay"}, {"author", "replay"}, {"reason", plan.name}};
+    const json submission{{"base", 0},
+                          {"patch", mergePatchBetween(initialDocument(), plan.configuration)},
+                          {"submission", "replay"},
+                          {"author", "replay"},
+                          {"reason", plan.name}};
     const auto accepted = ask(nodes.front(), token, "POST", "/v1/config/patch", submission);
     if (!accepted) {
         return accepted.error();
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -89,6 +89,9 @@
     const trace_phase *phaseAt(millis at) const;
     /// @return the load of a caller at a time, in requests a second.
     double rate(const trace_caller &caller, millis at) const;
+    /// @return the share of its slots that an upstream has on average in a span, by what goes wrong with it.
+    /// @param number its place within its service
+    double capacityShare(const trace_upstream &upstream, int number, const trace_phase &phase) const;
     /// @return requests a second of each caller that the deployment can answer at best in a phase, the most important first.
     std::vector<double> idealRates(const trace_phase &phase) const;
 };
--- a/bench/standins/upstream_standin.h
+++ b/bench/standins/upstream_standin.h
@@ -61,6 +61,8 @@
 
     /// Opens the socket and announces itself.
     result<endpoint> start();
+    /// Lets the cold start begin now.
+    void beginCold() { m_startedAt = monotonicNow(); }
     /// Multiplies service times from now on.
     void setSlowness(double factor) { m_slowness = factor; }
     /// Answers every call at once with an error, as a broken upstream does.
--- a/packages/policy/include/turmericspar/policy/configuration.h
+++ b/packages/policy/include/turmericspar/policy/configuration.h
@@ -54,6 +54,9 @@
 /// @param mistakes receives every mistake; the result is of use only if there is none
 configuration parseConfiguration(const nlohmann::json &document, std::vector<document_mistake> &mistakes);
 
+/// @return the JSON Merge Patch (RFC 7396) that makes one document out of another.
+nlohmann::json mergePatchBetween(const nlohmann::json &from, const nlohmann::json &to);
+
 /// @return the document that a deployment starts with: one rank, one class, no limits.
 nlohmann::json initialDocument();
 
--- a/packages/policy/include/turmericspar/policy/limiter.h
+++ b/packages/policy/include/turmericspar/policy/limiter.h
@@ -35,8 +35,10 @@
 
 private:
     void correct(millis now);
+    double relativeError(millis latency) const;
     void moveBaseline(millis latency, bool limited);
-    bool descentWasInVain(millis latency);
+    void descend(millis latency, millis tolerated, millis now);
+    bool descentWasInVain(millis latency, millis now);
     void clampLimit();
 
     const tunables &m_tuning;
@@ -47,10 +49,12 @@
     millis m_baseline{0};
     double m_descentLimit = 0; ///< limit at the start of the present fall; 0 if it does not fall
     millis m_descentLatency{0}; ///< latency at that time
+    millis m_descentDeepAt{0}; ///< when the limit had fallen far enough for a judgement
 
     // The present window
     millis m_windowStart{0};
     millis m_latencySum{0};
+    double m_latencySquares = 0;
     int m_samples = 0;
     int m_sheds = 0;
     int m_runningMost = 0;
--- a/packages/policy/include/turmericspar/policy/once.h
+++ b/packages/policy/include/turmericspar/policy/once.h
@@ -25,7 +25,7 @@
 {
     millis keyLife{600'000}; ///< how long a key is remembered
     millis permitLife{3000}; ///< how long after its bar an inquiry may run the key
-    millis clockSkew{5000}; ///< most by which the clocks of callers and nodes differ
+    millis clockSkew{2000}; ///< most by which the clocks of callers and nodes differ
     millis opaqueLateness{60'000}; ///< most by which a first attempt with a key without a time may be late
     millis askTimeout{400}; ///< for the answers to an inquiry
     std::size_t bytesMax = 8 * 1024 * 1024; ///< of remembered keys and answers
@@ -78,6 +78,9 @@
     /// Forgets everything, as a node must when its upstream becomes another.
     void clear(millis wallNow);
 
+    /// @return whether the memory reaches back to before any key that is made now.
+    bool remembersFresh(millis wallNow) const { return wallNow - m_memorySince >= m_tuning.clockSkew * 2; }
+
     std::size_t size() const { return m_entries.size(); }
     std::size_t bytes() const { return m_bytes; }
 
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -11,15 +11,20 @@
 {
     // Concurrency limit of an upstream
     millis limitWindow{100}; ///< least time between two corrections
-    int limitSamples = 10; ///< least number of answers between two corrections
-    double latencyTolerance = 1.15; ///< latency over its baseline that is not yet taken for queueing
-    double limitDecrease = 0.9; ///< largest step down, as a factor
+    int limitSamples = 30; ///< number of answers between two corrections, or two rounds of a small limit
+    int limitSamplesLeast = 6; ///< least number of answers between two corrections
+    double latencyTolerance = 1.1; ///< latency over its baseline that is not yet taken for queueing
+    double noiseTolerance = 2; ///< standard errors of a window's latency that are not yet taken for queueing
+    double limitDecrease = 0.9; ///< step down on a refusal by the upstream, as a factor
+    double limitDecreaseMost = 0.5; ///< largest step down on latency, as a factor
+    double idleTolerance = 1.3; ///< latency over the tolerated one that counts though the limit is not reached
+    double idleLimitLeast = 8; ///< limit that such latency does not lower further
     double limitIncrease = 0.05; ///< step up, as a share of the limit
-    double baselineDrift = 0.02; ///< how fast the baseline follows a higher latency while the limit is not reached
-    double baselineFall = 0.2; ///< how fast the baseline follows a lower latency
+    double baselineBlend = 0.1; ///< how fast the baseline follows the latency while the limit is not reached
+    double baselineFall = 0.05; ///< how fast it follows a lower latency while the limit is reached
     double descentShare = 0.7; ///< share of its start to which the limit falls before the fall is judged
     double descentRelief = 0.85; ///< share of the latency at the start of a fall that still counts as no relief
-    double coldStartShare = 0.25; ///< first limit of a cold upstream, as a share of its slots
+    double coldStartShare = 1; ///< first limit of a cold upstream, as a share of its slots
     double slowStartIncrease = 0.25; ///< step up until the first sign of queueing
 
     // Queue before an upstream
@@ -30,7 +35,7 @@
 
     // Shed level
     millis levelWindow{50}; ///< time between two corrections
-    double levelHeadroom = 1.1; ///< arrivals that are let in, as a multiple of what is started
+    double levelHeadroom = 1.15; ///< arrivals that are let in, as a multiple of what is started
     double levelBusyShare = 0.9; ///< use of the limit from which an upstream counts as busy
     millis levelMemory{300}; ///< how long an arrival counts in the distribution of importance
     double levelBlend = 0.3; ///< weight of a new report of a level among those before
--- a/packages/policy/src/configuration.cpp
+++ b/packages/policy/src/configuration.cpp
@@ -175,6 +175,19 @@
     return read;
 }
 
+json mergePatchBetween(const json &from, const json &to)
+{
+    json patch = to;
+    for (const auto &[key, value] : from.items()) {
+        if (!to.contains(key)) {
+            patch[key] = nullptr;
+        } else if (value.is_object() && to[key].is_object()) {
+            patch[key] = mergePatchBetween(value, to[key]);
+        }
+    }
+    return patch;
+}
+
 json initialDocument()
 {
     return {{"ranks", {"routine"}}, {"classes", {{"default", {{"rank", "routine"}}}}}, {"default_class", "default"}};
