The limit learns from fresh calls only, and routing does not follow fast failures; tests of the decisions

Cause: found by tests on a modelled upstream: an upstream of 20 slots that announces 200 kept a limit of 105, since calls sent before the limit was lowered were judged as if they came after; a failing upstream drew 263 of 300 calls, since its latency stayed unknown and so the lowest; a Content-Length of '+3' was answered 431. Change: only calls that began after the last lowering count; a fall is in vain if the latency after it is more than the rate before it explains (Little's law); an upstream without a latency of its own is given that of its service; parser errors are 400.

--- a/packages/base/src/http.cpp
+++ b/packages/base/src/http.cpp
@@ -368,9 +368,8 @@
         return used;
     }
     const bool stoppedOnPurpose = m_messageDone || m_framing != body_framing::by_parser;
-    const auto error = htparser_get_error(m_parser.get());
     if (!m_headerComplete || (!stoppedOnPurpose && parsed < m_header.size())) {
-        fail(error == htparse_error_too_big ? statusHeaderTooLarge : statusBadRequest);
+        fail(statusBadRequest);
         return used;
     }
 
--- /dev/null
+++ b/packages/base/tests/http_test.cpp
@@ -0,0 +1,203 @@
+/// @file http_test.cpp
+/// The reader of HTTP messages, and the server and client over loopback.
+#include "turmericspar/base/http_call.h"
+#include "turmericspar/base/http_client.h"
+#include "turmericspar/base/http_server.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace turmericspar;
+
+/// Feeds a text in pieces and returns what was read.
+std::vector<http_request> readAll(const std::string &text, const std::vector<std::size_t> &pieces, int &failedStatus)
+{
+    http_reader reader(http_reader::role::server, {});
+    std::vector<http_request> messages;
+    std::size_t position = 0;
+    std::size_t turn = 0;
+    failedStatus = 0;
+    while (position < text.size()) {
+        const std::size_t piece = pieces.empty() ? text.size() : pieces[turn++ % pieces.size()];
+        position += reader.feed(text.data() + position, std::min(piece, text.size() - position));
+        if (reader.current() == http_reader::state::complete) {
+            messages.push_back(reader.request());
+            reader.reset();
+        } else if (reader.current() == http_reader::state::failed) {
+            failedStatus = reader.errorStatus();
+            break;
+        }
+    }
+    return messages;
+}
+
+int statusOf(const std::string &text)
+{
+    int status = 0;
+    readAll(text, {}, status);
+    return status;
+}
+
+TEST(http_reader, reads_pipelined_messages)
+{
+    int status = 0;
+    const auto messages = readAll("GET /a?x=1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /c HTTP/1.1\r\n\r\n", {}, status);
+    ASSERT_EQ(messages.size(), 3U);
+    EXPECT_EQ(messages[0].target, "/a?x=1");
+    EXPECT_EQ(messages[1].body, "abc");
+    EXPECT_EQ(messages[2].target, "/c");
+}
+
+RC_GTEST_PROP(http_reader, pieces_do_not_matter, (std::vector<std::uint8_t> sizes, const std::vector<std::string> &bodies))
+{
+    std::string text;
+    for (const auto &body : bodies) {
+        text += "POST /p HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if (!body.empty()) {
+            std::array<char, 16> length{};
+            std::snprintf(length.data(), length.size(), "%zx\r\n", body.size());
+            text += length.data() + body + "\r\n";
+        }
+        text += "0\r\n\r\n";
+    }
+    std::vector<std::size_t> pieces;
+    for (const auto size : sizes) {
+        pieces.push_back(size + 1U);
+    }
+    int status = 0;
+    const auto messages = readAll(text, pieces, status);
+    RC_ASSERT(messages.size() == bodies.size());
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        RC_ASSERT(messages[i].body == bodies[i]);
+    }
+}
+
+RC_GTEST_PROP(http_reader, garbage_neither_crashes_nor_hangs, (const std::vector<std::uint8_t> &bytes, std::uint8_t piece))
+{
+    int status = 0;
+    readAll("GET / HTTP/1.1\r\n" + std::string(bytes.begin(), bytes.end()), {piece + 1U}, status);
+    readAll(std::string(bytes.begin(), bytes.end()), {piece + 1U}, status);
+}
+
+TEST(http_reader, refuses_what_smuggles_requests)
+{
+    EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+    EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"), 400);
+    EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc"), 400);
+    EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost : h\r\n\r\n"), 400);
+    EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n"), 400);
+    EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"), 400);
+}
+
+TEST(http_reader, bounds_header_and_body)
+{
+    EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nA: " + std::string(40'000, 'x') + "\r\n\r\n"), 431);
+    EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"), 413);
+}
+
+TEST(http_fields, hop_by_hop_fields_go)
+{
+    http_fields fields;
+    fields.add("Connection", "keep-alive, X-Private");
+    fields.add("X-Private", "1");
+    fields.add("Keep-Alive", "5");
+    fields.add("X-Public", "2");
+    fields.removeHopByHop();
+    EXPECT_EQ(fields.size(), 1U);
+    EXPECT_EQ(fields.get("x-public"), "2");
+}
+
+/// A server on loopback whose answers echo the request.
+class http_loopback : public testing::Test
+{
+protected:
+    http_loopback() : server(loop, {}, [this](const http_exchange_ptr &exchange) { handle(exchange); }), address(*server.listen({"127.0.0.1", 0})) { }
+
+    virtual void handle(const http_exchange_ptr &exchange)
+    {
+        http_response response;
+        response.body = exchange->request().method + " " + exchange->request().target + " " + exchange->request().body;
+        exchange->respond(response);
+    }
+
+    http_outcome call(const http_request &request)
+    {
+        http_client client(loop, address, {});
+        http_outcome outcome;
+        client.connect(oneSecond, {});
+        client.send(request, oneSecond * 5, [&](http_outcome got) {
+            outcome = std::move(got);
+            loop.quit();
+        });
+        loop.run();
+        return outcome;
+    }
+
+    event_loop loop;
+    http_server server;
+    endpoint address;
+};
+
+TEST_F(http_loopback, answers)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/x?y";
+    request.body = std::string(3'000'000, 'b');
+    const auto outcome = call(request);
+    ASSERT_FALSE(outcome.error);
+    EXPECT_EQ(outcome.response.body, "POST /x?y " + request.body);
+}
+
+TEST_F(http_loopback, head_has_no_body)
+{
+    http_request request;
+    request.method = "HEAD";
+    const auto outcome = call(request);
+    ASSERT_FALSE(outcome.error);
+    EXPECT_TRUE(outcome.response.body.empty());
+}
+
+TEST_F(http_loopback, refused_connection_sent_nothing)
+{
+    http_client client(loop, {"127.0.0.1", 1}, {});
+    http_outcome outcome;
+    client.connect(oneSecond, {});
+    client.send({}, oneSecond * 5, [&](http_outcome got) {
+        outcome = std::move(got);
+        loop.quit();
+    });
+    loop.run();
+    EXPECT_TRUE(outcome.error);
+    EXPECT_FALSE(outcome.sent);
+}
+
+/// A server that never answers, and notes when a caller goes.
+class silent_loopback : public http_loopback
+{
+protected:
+    void handle(const http_exchange_ptr &exchange) override
+    {
+        exchange->onGone([this] {
+            gone = true;
+            loop.quit();
+        });
+        client.reset();
+    }
+
+    std::unique_ptr<http_client> client;
+    bool gone = false;
+};
+
+TEST_F(silent_loopback, notices_a_caller_that_goes)
+{
+    client = std::make_unique<http_client>(loop, address, http_limits{});
+    client->connect(oneSecond, {});
+    client->send({}, oneSecond * 5, [](const http_outcome &) {});
+    loop.run();
+    EXPECT_TRUE(gone);
+}
+
+} // namespace
--- a/packages/policy/include/turmericspar/policy/limiter.h
+++ b/packages/policy/include/turmericspar/policy/limiter.h
@@ -26,7 +26,8 @@
     /// @param ownTime time that the upstream spent, without the time for which it waited for others
     /// @param shed whether the upstream refused the call for overload
     /// @param running calls that were running when it ended, with itself
-    void answered(millis ownTime, bool shed, int running, millis now);
+    /// @param startedAt when the call was sent to the upstream
+    void answered(millis ownTime, bool shed, int running, millis startedAt, millis now);
 
     /// @return how many calls may run at once; 0 before the first announcement.
     int limit() const { return static_cast<int>(m_limit); }
@@ -38,7 +39,7 @@
     double relativeError(millis latency) const;
     void moveBaseline(millis latency, bool limited);
     void descend(millis latency, millis tolerated, millis now);
-    bool descentWasInVain(millis latency, millis now);
+    bool descentWasInVain(millis latency);
     void clampLimit();
 
     const tunables &m_tuning;
@@ -48,8 +49,8 @@
     bool m_slowStart = false;
     millis m_baseline{0};
     double m_descentLimit = 0; ///< limit at the start of the present fall; 0 if it does not fall
-    millis m_descentLatency{0}; ///< latency at that time
-    millis m_descentDeepAt{0}; ///< when the limit had fallen far enough for a judgement
+    double m_descentRate = 0; ///< calls that ended in a millisecond at that time
+    millis m_loweredAt{0}; ///< when the limit was last lowered: calls from before tell nothing of it
 
     // The present window
     millis m_windowStart{0};
@@ -57,6 +58,7 @@
     double m_latencySquares = 0;
     int m_samples = 0;
     int m_sheds = 0;
+    int m_ended = 0; ///< calls, with those that began before the limit was lowered
     int m_runningMost = 0;
 };
 
--- a/packages/policy/include/turmericspar/policy/routing.h
+++ b/packages/policy/include/turmericspar/policy/routing.h
@@ -57,11 +57,13 @@
     millis latency(const node_id &node) const;
 
 private:
+    struct service_upstreams;
     struct upstream_state
     {
         node_id node;
         std::string service;
         std::string domain;
+        service_upstreams *siblings = nullptr;
         int outstanding = 0;
         int limit = 0;
         int pendingTold = 0;
@@ -74,6 +76,7 @@
         std::vector<upstream_state *> own;
         std::vector<upstream_state *> all;
         std::size_t turn = 0;
+        millis latency{0}; ///< of the last answers of all its upstreams
     };
 
     double cost(const upstream_state &upstream, millis now) const;
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -23,7 +23,7 @@
     double baselineBlend = 0.1; ///< how fast the baseline follows the latency while the limit is not reached
     double baselineFall = 0.05; ///< how fast it follows a lower latency while the limit is reached
     double descentShare = 0.7; ///< share of its start to which the limit falls before the fall is judged
-    double descentRelief = 0.85; ///< share of the latency at the start of a fall that still counts as no relief
+    double descentRelief = 0.85; ///< share of the latency after a fall that fewer waiting calls must explain
     double coldStartShare = 1; ///< first limit of a cold upstream, as a share of its slots
     double slowStartIncrease = 0.25; ///< step up until the first sign of queueing
 
--- a/packages/policy/src/limiter.cpp
+++ b/packages/policy/src/limiter.cpp
@@ -20,12 +20,16 @@
     clampLimit();
 }
 
-void limiter::answered(millis ownTime, bool shed, int running, millis now)
+void limiter::answered(millis ownTime, bool shed, int running, millis startedAt, millis now)
 {
-    if (m_samples + m_sheds == 0) {
-        m_windowStart = m_windowStart.count == 0 ? now : m_windowStart;
-    }
     m_runningMost = std::max(m_runningMost, running);
+    ++m_ended;
+    if (startedAt < m_loweredAt) {
+        return;
+    }
+    if (m_windowStart.count == 0) {
+        m_windowStart = now;
+    }
     if (shed) {
         ++m_sheds;
     } else {
@@ -75,6 +79,7 @@
     m_latencySquares = 0;
     m_samples = 0;
     m_sheds = 0;
+    m_ended = 0;
     m_runningMost = 0;
 }
 
@@ -106,36 +111,31 @@
     m_slowStart = false;
     if (m_descentLimit == 0) {
         m_descentLimit = m_limit;
-        m_descentLatency = latency;
-        m_descentDeepAt = {0};
+        m_descentRate = m_ended / (now - m_windowStart).count;
     }
-    if (descentWasInVain(latency, now)) {
+    if (descentWasInVain(latency)) {
         m_baseline = latency;
         m_limit = m_descentLimit;
         m_descentLimit = 0;
         return;
     }
     m_limit = std::max(1.0, m_limit * std::max(m_tuning.limitDecreaseMost, tolerated / latency));
-    const bool deep = m_limit <= m_descentLimit * m_tuning.descentShare;
-    if (deep && m_descentDeepAt.count == 0) {
-        m_descentDeepAt = now;
-    }
+    m_loweredAt = now;
 }
 
 /// @return whether the limit fell far and the latency did not: then the upstream is slower, not fuller.
-bool limiter::descentWasInVain(millis latency, millis now)
+bool limiter::descentWasInVain(millis latency)
 {
-    // Calls that were started before the fall must have left first.
-    const bool tooEarly = m_descentDeepAt.count == 0 || now - m_descentDeepAt < m_descentLatency * 2;
-    if (tooEarly) {
+    if (m_limit > m_descentLimit * m_tuning.descentShare) {
         return false;
     }
-    if (latency > m_descentLatency * m_tuning.descentRelief) {
+    // Calls that only waited inside the upstream leave as fast as before, so that their latency falls with their number.
+    const double present = std::min<double>(m_limit, m_runningMost);
+    const millis expected{present / m_descentRate};
+    if (latency > expected * (1 / m_tuning.descentRelief)) {
         return true;
     }
     m_descentLimit = m_limit;
-    m_descentLatency = latency;
-    m_descentDeepAt = {0};
     return false;
 }
 
--- a/packages/policy/src/routing.cpp
+++ b/packages/policy/src/routing.cpp
@@ -11,6 +11,12 @@
     return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
+/// Moves an average towards a new value; the first value is taken whole.
+void follow(millis &average, millis value, double blend)
+{
+    average = average.count == 0 ? value : average + (value - average) * blend;
+}
+
 } // namespace
 
 routing::routing(const tunables &tuning, std::string ownDomain, std::uint64_t seed) : m_tuning(tuning), m_ownDomain(std::move(ownDomain)), m_random(seed) { }
@@ -26,6 +32,7 @@
     slot->service = service;
     slot->domain = domain;
     auto &lists = m_services[service];
+    slot->siblings = &lists;
     if (ready) {
         lists.all.push_back(slot.get());
         if (domain == m_ownDomain) {
@@ -59,7 +66,8 @@
     const double pending = std::max(upstream.pendingTold, upstream.outstanding) + 1;
     const double crowding = upstream.limit > 0 ? pending / upstream.limit : pending;
     const double trip = upstream.domain == m_ownDomain ? 0 : m_tuning.tripToOtherDomain.count;
-    const double latency = std::max(upstream.latency.count, 1.0) * (1 + crowding) / std::max(upstream.success, m_tuning.successFloor);
+    const millis usual = upstream.latency.count > 0 ? upstream.latency : upstream.siblings->latency;
+    const double latency = std::max(usual.count, 1.0) * (1 + crowding) / std::max(upstream.success, m_tuning.successFloor);
     const bool refusedLately = now - upstream.refusedAt < m_tuning.refusalPenalty;
     return latency * (refusedLately ? 2 : 1) + trip;
 }
@@ -151,7 +159,8 @@
     }
     upstream.success += ((sample.success ? 1.0 : 0.0) - upstream.success) * m_tuning.successBlend;
     if (sample.success) {
-        upstream.latency = upstream.latency.count == 0 ? sample.latency : upstream.latency + (sample.latency - upstream.latency) * m_tuning.latencyBlend;
+        follow(upstream.latency, sample.latency, m_tuning.latencyBlend);
+        follow(upstream.siblings->latency, sample.latency, m_tuning.latencyBlend);
     }
 }
 
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -158,10 +158,11 @@
         return;
     }
     const int running = static_cast<int>(m_running.size());
-    const millis wholeTime = now - found->second;
+    const millis startedAt = found->second;
+    const millis wholeTime = now - startedAt;
     m_running.erase(found);
     if (report.answered || report.shed) {
-        m_limiter.answered(report.ownTime, report.shed, running, now);
+        m_limiter.answered(report.ownTime, report.shed, running, startedAt, now);
     }
     if (report.answered && !report.shed) {
         m_usualTime = m_usualTime.count == 0 ? wholeTime : m_usualTime + (wholeTime - m_usualTime) * m_tuning.latencyBlend;
--- /dev/null
+++ b/packages/policy/tests/retry_test.cpp
@@ -0,0 +1,217 @@
+/// @file retry_test.cpp
+/// Retries stay bounded over the whole tree of calls, and nothing is repeated that may not be.
+#include "turmericspar/policy/chain_ledger.h"
+#include "turmericspar/policy/entry.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace turmericspar;
+
+RC_GTEST_PROP(chain_ledger, grants_never_exceed_the_budget, ())
+{
+    chain_ledger ledger;
+    call_context root;
+    root.retries = *rc::gen::inRange(0, 8);
+    ledger.open(1, root);
+    std::map<call_id, int> open;
+    int used = 0;
+    call_id next = 2;
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10));
+    for (const int step : steps) {
+        if (step < 5 || open.empty()) {
+            const auto child = ledger.addChild(1, next, {});
+            RC_ASSERT(child.has_value());
+            open[next++] = child->retries;
+        } else {
+            const auto [id, grant] = *open.begin();
+            const int spent = std::min(step % 3, grant);
+            used += spent;
+            // A child that claims more than its grant is not believed.
+            ledger.childEnded(1, id, step == 9 ? 100 : spent, false, {});
+            used += step == 9 ? grant - spent : 0;
+            open.erase(id);
+        }
+        int granted = 0;
+        for (const auto &[id, grant] : open) {
+            granted += grant;
+        }
+        RC_ASSERT(used + granted <= root.retries);
+    }
+    const auto summary = ledger.close(1, {});
+    RC_ASSERT(summary.retriesUsed <= root.retries);
+    RC_ASSERT(summary.unfinished.size() == open.size());
+}
+
+TEST(chain_ledger, waiting_time_counts_once_for_calls_side_by_side)
+{
+    chain_ledger ledger;
+    ledger.open(1, {});
+    ledger.addChild(1, 2, {10});
+    ledger.addChild(1, 3, {15});
+    ledger.childEnded(1, 2, 0, false, {20});
+    ledger.childEnded(1, 3, 0, false, {40});
+    ledger.addChild(1, 4, {50});
+    EXPECT_EQ(ledger.close(1, {60}).waited, millis{40});
+}
+
+/// An entry with three upstreams, whose attempts the test answers.
+class entry_test : public testing::Test
+{
+protected:
+    entry_test()
+    {
+        for (const auto *node : {"a", "b", "c"}) {
+            routes.update(node, "s", "d", true);
+        }
+        context.deadline = {1000};
+        context.retries = 3;
+    }
+
+    std::vector<entry_action> submit()
+    {
+        std::vector<entry_action> actions;
+        decisions.submit(1, "s", context, {0}, actions);
+        return actions;
+    }
+
+    std::vector<entry_action> reply(int attempt, const attempt_result &result)
+    {
+        std::vector<entry_action> actions;
+        decisions.replied(1, attempt, result, {10}, actions);
+        return actions;
+    }
+
+    tunables tuning;
+    routing routes{tuning, "d", 1};
+    entry decisions{tuning, policy_mode::full, routes};
+    call_context context;
+};
+
+TEST_F(entry_test, repeats_what_failed_within_the_budget_and_elsewhere)
+{
+    auto actions = submit();
+    std::set<node_id> nodes;
+    int attempts = 0;
+    while (actions.front().what == entry_action::verb::forward) {
+        nodes.insert(actions.front().node);
+        ++attempts;
+        attempt_result broken;
+        broken.reason = refusal_reason::broken;
+        actions = reply(attempts, broken);
+    }
+    EXPECT_EQ(attempts, 3); // one for each upstream; the budget would have allowed four
+    EXPECT_EQ(nodes.size(), 3U);
+    EXPECT_EQ(actions.front().outcome, call_outcome::unknown);
+}
+
+TEST_F(entry_test, does_not_repeat_what_may_run_once)
+{
+    context.intent = call_intent::once;
+    submit();
+    const auto actions = reply(1, {});
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(actions[0].what, entry_action::verb::finish);
+    EXPECT_EQ(actions[0].outcome, call_outcome::unknown);
+}
+
+TEST_F(entry_test, moves_on_what_was_not_run_even_if_it_may_run_once)
+{
+    context.intent = call_intent::once;
+    submit();
+    attempt_result draining;
+    draining.outcome = call_outcome::not_run;
+    draining.reason = refusal_reason::draining;
+    EXPECT_EQ(reply(1, draining).front().what, entry_action::verb::forward);
+}
+
+TEST_F(entry_test, does_not_push_on_an_overloaded_service)
+{
+    submit();
+    attempt_result refused;
+    refused.outcome = call_outcome::not_run;
+    refused.reason = refusal_reason::overload;
+    const auto actions = reply(1, refused);
+    EXPECT_EQ(actions.front().what, entry_action::verb::finish);
+    EXPECT_EQ(actions.front().outcome, call_outcome::not_run);
+}
+
+TEST_F(entry_test, says_not_run_only_if_no_attempt_may_have_run)
+{
+    submit();
+    reply(1, {}); // unknown; retried
+    attempt_result refused;
+    refused.outcome = call_outcome::not_run;
+    refused.reason = refusal_reason::overload;
+    EXPECT_EQ(reply(2, refused).front().outcome, call_outcome::unknown);
+}
+
+TEST_F(entry_test, hops_above_a_final_failure_do_not_retry)
+{
+    submit();
+    attempt_result failed;
+    failed.outcome = call_outcome::ran;
+    failed.serverError = true;
+    failed.finalFailure = true;
+    EXPECT_EQ(reply(1, failed).front().what, entry_action::verb::finish);
+}
+
+TEST_F(entry_test, gives_up_at_the_deadline_and_cancels)
+{
+    submit();
+    std::vector<entry_action> actions;
+    decisions.tick({1000}, actions);
+    ASSERT_EQ(actions.size(), 2U);
+    EXPECT_EQ(actions[0].what, entry_action::verb::cancel);
+    EXPECT_EQ(actions[1].what, entry_action::verb::finish);
+    EXPECT_EQ(actions[1].outcome, call_outcome::unknown);
+}
+
+TEST_F(entry_test, refuses_at_once_what_would_be_shed_below)
+{
+    submit();
+    attempt_result told;
+    told.outcome = call_outcome::ran;
+    told.level = 15.5;
+    for (int i = 0; i < 20; ++i) {
+        context.place.draw = 0xffffffffU;
+        std::vector<entry_action> actions;
+        decisions.submit(static_cast<call_id>(100 + i), "s", context, {10}, actions);
+        decisions.replied(static_cast<call_id>(100 + i), 1, told, {10}, actions);
+    }
+    context.place.draw = 0;
+    std::vector<entry_action> actions;
+    decisions.submit(500, "s", context, {10}, actions);
+    EXPECT_EQ(actions.front().what, entry_action::verb::finish);
+    EXPECT_EQ(actions.front().reason, refusal_reason::overload);
+    actions.clear();
+    decisions.submit(501, "s", context, {5000}, actions);
+    EXPECT_EQ(actions.front().what, entry_action::verb::forward);
+}
+
+RC_GTEST_PROP(routing, an_upstream_that_fails_fast_does_not_draw_the_load, (std::uint32_t seed))
+{
+    const tunables tuning;
+    routing routes(tuning, "d", seed);
+    for (const auto *node : {"good", "bad", "other"}) {
+        routes.update(node, "s", "d", true);
+    }
+    int toBad = 0;
+    for (int i = 0; i < 600; ++i) {
+        const auto node = routes.choose("s", {}, {static_cast<double>(i)});
+        const bool bad = node == "bad";
+        toBad += bad && i >= 300 ? 1 : 0;
+        routes.sent(node);
+        route_sample sample;
+        sample.latency = {bad ? 1.0 : 50.0};
+        sample.success = !bad;
+        sample.limit = 10;
+        routes.done(node, true, sample, {static_cast<double>(i)});
+    }
+    RC_ASSERT(toBad < 60);
+}
+
+} // namespace
