--- a/bench/replay/run.cpp
+++ b/bench/replay/run.cpp
@@ -1,14 +1,11 @@
 #include "run.h"
 
-#include "store_standin.h"
-#include "turmericspar/base/http_call.h"
+#include "operator_ask.h"
+#include "standin_thread.h"
 #include "turmericspar/base/secret.h"
 #include "turmericspar/policy/configuration.h"
 
-#include <atomic>
 #include <fmt/format.h>
-#include <iostream>
-#include <thread>
 
 namespace turmericspar {
 
@@ -16,201 +13,6 @@
 
 using nlohmann::json;
 
-constexpr millis askTimeout{2000};
-constexpr millis settleTimeout{30'000};
-constexpr auto askPause = std::chrono::milliseconds(100);
-constexpr millis eventTick{1};
-
-/// The stand-ins of a run, on a thread and a loop of their own.
-class standin_thread
-{
-public:
-    standin_thread(const trace &plan, const std::vector<node_addresses> &nodes, endpoint platform)
-        : m_plan(plan), m_nodes(nodes), m_platform(std::move(platform))
-    {
-    }
-
-    void start()
-    {
-        m_thread = std::thread([this] { run(); });
-    }
-
-    /// Lets the events of the trace happen from now on.
-    void startEvents() { m_eventsFrom = monotonicNow().count; }
-
-    /// Ends the thread; the records may be read then.
-    std::vector<run_record> stop()
-    {
-        m_stop = true;
-        m_thread.join();
-        return std::move(m_records);
-    }
-
-private:
-    void run()
-    {
-        event_loop loop;
-        store_standin platform(loop);
-        if (!platform.listen(m_platform)) {
-            std::cerr << "replay: the platform's stand-in can't listen on " << m_platform.text() << '\n';
-        }
-        std::vector<std::unique_ptr<upstream_standin>> upstreams;
-        for (std::size_t i = 0; i < m_plan.upstreams.size(); ++i) {
-            upstreams.push_back(
-                std::make_unique<upstream_standin>(loop, m_plan.upstreams[i].shape, m_nodes[i].upstream, m_nodes[i].callers, m_plan.seed * 7919 + i));
-            upstreams.back()->start();
-        }
-        const auto ticker = loop.every(eventTick, [&] {
-            if (m_stop) {
-                loop.quit();
-            }
-            happen(platform, upstreams);
-        });
-        loop.run();
-        for (auto &upstream : upstreams) {
-            auto &records = upstream->records();
-            m_records.insert(m_records.end(), records.begin(), records.end());
-        }
-    }
-
-    /// Begins and ends the events that are due.
-    void happen(store_standin &platform, std::vector<std::unique_ptr<upstream_standin>> &upstreams)
-    {
-        if (m_eventsFrom < 0) {
-            return;
-        }
-        const millis now = monotonicNow() - millis{m_eventsFrom};
-        if (m_state.empty()) {
-            for (auto &upstream : upstreams) {
-                upstream->beginCold();
-            }
-            m_state.resize(m_plan.events.size() + 1);
-        }
-        for (std::size_t i = 0; i < m_plan.events.size(); ++i) {
-            const auto &event = m_plan.events[i];
-            if (m_state[i] == 0 && now >= event.at) {
-                m_state[i] = 1;
-                apply(event, true, platform, upstreams);
-            } else if (m_state[i] == 1 && event.until > event.at && now >= event.until) {
-                m_state[i] = 2;
-                apply(event, false, platform, upstreams);
-            }
-        }
-    }
-
-    void apply(const trace_event &event, bool begins, store_standin &platform, std::vector<std::unique_ptr<upstream_standin>> &upstreams)
-    {
-        switch (event.kind) {
-        case event_kind::store_down:
-            platform.faults().down = begins;
-            return;
-        case event_kind::store_slow:
-            platform.faults().delay = {begins ? event.factor : 0};
-            return;
-        case event_kind::lose_answers:
-            platform.faults().loseAnswers = begins ? static_cast<int>(event.factor) : 0;
-            return;
-        default:
-            break;
-        }
-        int number = 0;
-        for (std::size_t i = 0; i < upstreams.size(); ++i) {
-            if (m_plan.upstreams[i].shape.service != event.service) {
-                continue;
-            }
-            if (event.index < 0 || event.index == number) {
-                applyTo(event, begins, *upstreams[i]);
-            }
-            ++number;
-        }
-    }
-
-    static void applyTo(const trace_event &event, bool begins, upstream_standin &upstream)
-    {
-        switch (event.kind) {
-        case event_kind::slow:
-            upstream.setSlowness(begins ? event.factor : 1);
-            break;
-        case event_kind::failing:
-            upstream.setFailing(begins);
-            break;
-        case event_kind::crash:
-            if (begins) {
-                upstream.crash(event.until - event.at);
-            }
-            break;
-        case event_kind::drain:
-            upstream.setDraining(begins);
-            break;
-        case event_kind::undrain:
-            upstream.setDraining(false);
-            break;
-        default:
-            break;
-        }
-    }
-
-    const trace &m_plan;
-    const std::vector<node_addresses> &m_nodes;
-    endpoint m_platform;
-    std::thread m_thread;
-    std::atomic<bool> m_stop = false;
-    std::atomic<double> m_eventsFrom = -1;
-    std::vector<int> m_state;
-    std::vector<run_record> m_records;
-};
-
-/// Asks a node's operator interface.
-result<json> ask(const node_addresses &node, const std::string &token, const std::string &method, const std::string &target, const json &body = {})
-{
-    http_request request;
-    request.method = method;
-    request.target = target;
-    request.fields.add("Authorization", "Bearer " + token);
-    request.body = body.is_null() ? "" : body.dump();
-    const auto response = callAndWait(node.operators, request, askTimeout);
-    if (!response) {
-        return response.error();
-    }
-    const auto parsed = json::parse(response->body, nullptr, false);
-    if (response->status != 200 || parsed.is_discarded()) {
-        return failure{errc::rejected, target, node.name, response->body};
-    }
-    return parsed;
-}
-
-/// Waits until a condition holds on every node.
-bool waitForAll(const std::vector<node_addresses> &nodes, const std::string &token, const std::function<bool(const json &)> &holds)
-{
-    const millis until = monotonicNow() + settleTimeout;
-    for (const auto &node : nodes) {
-        for (;;) {
-            const auto status = ask(node, token, "GET", "/v1/status");
-            if (status && holds(*status)) {
-                break;
-            }
-            if (monotonicNow() > until) {
-                std::cerr << "replay: " << node.name << " did not settle: " << (status ? status->dump() : status.error().text()) << '\n';
-                return false;
-            }
-            std::this_thread::sleep_for(askPause);
-        }
-    }
-    return true;
-}
-
-bool everyUpstreamIsReady(const json &status, std::size_t count)
-{
-    if (!status["ready"].get<bool>()) {
-        return false;
-    }
-    std::size_t ready = 0;
-    for (const auto &entry : status["members"]) {
-        ready += entry["ready"].get<bool>() && entry["state"] == "alive" ? 1 : 0;
-    }
-    return ready == count;
-}
-
 /// Submits the trace's configuration and waits until it is in force on every node.
 result<bool> configure(const trace &plan, const std::vector<node_addresses> &nodes, const std::string &token)
 {
@@ -219,7 +21,7 @@
                           {"submission", "replay"},
                           {"author", "replay"},
                           {"reason", plan.name}};
-    const auto accepted = ask(nodes.front(), token, "POST", "/v1/config/patch", submission);
+    const auto accepted = askOperators(nodes.front(), token, "POST", "/v1/config/patch", submission);
     if (!accepted) {
         return accepted.error();
     }
--- /dev/null
+++ b/bench/tests/node_test.cpp
@@ -0,0 +1,214 @@
+/// @file node_test.cpp
+/// Two real nodes between stand-ins: the whole path, refusals, and ports that get nonsense.
+#include "fleet.h"
+#include "operator_ask.h"
+#include "standin_thread.h"
+#include "turmericspar/base/http_call.h"
+#include "turmericspar/base/secret.h"
+#include "turmericspar/caller/call_fields.h"
+#include "turmericspar/policy/configuration.h"
+
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+using namespace turmericspar;
+using nlohmann::json;
+
+constexpr int firstPort = 28001;
+constexpr millis patience{10'000};
+
+trace smallPlan()
+{
+    trace plan;
+    for (const auto *domain : {"east", "west"}) {
+        trace_upstream upstream;
+        upstream.domain = domain;
+        upstream.shape.service = "parts";
+        upstream.shape.slots = 4;
+        upstream.shape.connections = 20;
+        upstream.shape.serviceTime = {5};
+        plan.upstreams.push_back(upstream);
+    }
+    return plan;
+}
+
+/// Starts the deployment once for all tests.
+class node_test : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        plan = std::make_unique<trace>(smallPlan());
+        const endpoint platform{"127.0.0.1", firstPort - 1};
+        const auto daemon = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path() / "bin/turmericspard";
+        nodes = std::make_unique<fleet>(*plan, fleet_options{daemon, policy_mode::full, firstPort, platform, {}, "info"});
+        standins = std::make_unique<standin_thread>(*plan, nodes->nodes(), platform);
+        standins->start();
+        ASSERT_TRUE(nodes->start());
+        token = shared_key::read(nodes->keyFile())->operatorToken();
+        ASSERT_TRUE(waitForAll(nodes->nodes(), token, [](const json &status) { return everyUpstreamIsReady(status, 2); }));
+    }
+
+    static void TearDownTestSuite()
+    {
+        nodes->stop();
+        standins->stop();
+        nodes.reset();
+    }
+
+    static http_request request(const std::string &root)
+    {
+        http_request made;
+        made.target = "/" + root;
+        made.fields.add("Host", "parts");
+        made.fields.add(field::requestId, root);
+        return made;
+    }
+
+    static http_response call(std::size_t node, const http_request &message)
+    {
+        const auto answer = callAndWait(nodes->nodes()[node].callers, message, patience);
+        EXPECT_TRUE(answer) << (answer ? "" : answer.error().text());
+        return answer ? *answer : http_response{};
+    }
+
+    /// Sends bytes to a port and closes.
+    static void sendBytes(const endpoint &to, int type, const std::string &bytes)
+    {
+        sockaddr_storage address;
+        const auto length = to.toSockaddr(address);
+        const int descriptor = socket(AF_INET, type, 0);
+        connect(descriptor, reinterpret_cast<sockaddr *>(&address), length);
+        send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        close(descriptor);
+    }
+
+    static std::unique_ptr<trace> plan;
+    static std::unique_ptr<fleet> nodes;
+    static std::unique_ptr<standin_thread> standins;
+    static std::string token;
+};
+
+std::unique_ptr<trace> node_test::plan;
+std::unique_ptr<fleet> node_test::nodes;
+std::unique_ptr<standin_thread> node_test::standins;
+std::string node_test::token;
+
+TEST_F(node_test, answers_through_any_node_with_its_outcome_and_version)
+{
+    for (int i = 0; i < 40; ++i) {
+        const auto root = "r" + std::to_string(i);
+        const auto answer = call(static_cast<std::size_t>(i % 2), request(root));
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.body, answerChecksum(root, "parts") + "\n");
+        EXPECT_EQ(answer.fields.get(field::outcome), "ran");
+        EXPECT_FALSE(answer.fields.get(field::configVersion).empty());
+    }
+}
+
+TEST_F(node_test, refusals_say_who_and_why)
+{
+    auto unknown = request("u");
+    unknown.fields.set("Host", "nobody");
+    const auto answer = call(0, unknown);
+    EXPECT_EQ(answer.status, 404);
+    EXPECT_EQ(answer.fields.get(field::outcome), "not-run");
+    EXPECT_EQ(answer.fields.get(field::reason), "unknown-service");
+    EXPECT_EQ(answer.fields.get(field::refusedBy), nodes->nodes()[0].name);
+
+    auto badClass = request("c");
+    badClass.fields.add(field::klass, "no-such-class");
+    EXPECT_EQ(call(0, badClass).status, 400);
+    for (const auto *timeout : {"-1", "0", "1e99", "soon", "999999999"}) {
+        auto absurd = request("t");
+        absurd.fields.add(field::deadline, timeout);
+        EXPECT_EQ(call(0, absurd).status, 400) << timeout;
+    }
+}
+
+TEST_F(node_test, a_call_for_an_ended_parent_is_refused)
+{
+    auto orphan = request("o");
+    orphan.fields.add(field::context, "0000000000000000.1");
+    const auto answer = call(0, orphan);
+    EXPECT_EQ(answer.fields.get(field::outcome), "not-run");
+    EXPECT_EQ(answer.fields.get(field::reason), "cancelled");
+}
+
+TEST_F(node_test, a_resend_of_a_finished_booking_gets_the_kept_answer)
+{
+    const auto time = static_cast<unsigned long long>(wallNow().count);
+    std::array<char, 40> key{};
+    std::snprintf(key.data(), key.size(), "%08llx-%04llx-7abc-8def-0123456789ab", time >> 16U, time & 0xffffU);
+    auto booking = request("b");
+    booking.method = "POST";
+    booking.fields.add(field::idempotencyKey, key.data());
+    booking.fields.add(field::attempt, "1");
+    EXPECT_EQ(call(0, booking).status, 200);
+    booking.fields.remove(field::attempt);
+    for (std::size_t node : {0U, 1U}) {
+        const auto again = call(node, booking);
+        EXPECT_EQ(again.status, 200);
+        EXPECT_EQ(again.body, answerChecksum("b", "parts") + "\n");
+    }
+}
+
+TEST_F(node_test, a_stale_patch_names_the_present_version_and_changes_nothing)
+{
+    const auto &node = nodes->nodes()[0];
+    const auto before = (*askOperators(node, token, "GET", "/v1/config"))["version"].get<std::uint64_t>();
+    json submission{{"base", before}, {"patch", {{"retries_per_request", 2}}}, {"submission", "one"}, {"author", "a"}, {"reason", "r"}};
+    ASSERT_TRUE(askOperators(node, token, "POST", "/v1/config/patch", submission));
+    submission["submission"] = "two";
+    const auto refused = askOperators(nodes->nodes()[1], token, "POST", "/v1/config/patch", submission);
+    ASSERT_FALSE(refused);
+    const auto body = json::parse(refused.error().detail);
+    EXPECT_EQ(body["verdict"], "conflict");
+    EXPECT_EQ(body["version"], before + 1);
+    EXPECT_TRUE(waitForAll(nodes->nodes(), token, [&](const json &status) { return status["version"] == before + 1; }));
+}
+
+TEST_F(node_test, operators_need_the_token)
+{
+    EXPECT_FALSE(askOperators(nodes->nodes()[0], "wrong", "GET", "/v1/status"));
+    http_request open;
+    open.target = "/metrics";
+    const auto metrics = callAndWait(nodes->nodes()[0].operators, open, patience);
+    ASSERT_TRUE(metrics);
+    EXPECT_NE(metrics->body.find("turmericspar_calls_total"), std::string::npos);
+}
+
+TEST_F(node_test, nonsense_on_every_port_is_survived)
+{
+    std::mt19937 random(1);
+    std::string noise(5000, '\0');
+    for (auto &byte : noise) {
+        byte = static_cast<char>(random());
+    }
+    const auto &node = nodes->nodes()[0];
+    for (const auto &port : {node.callers, node.upstream, node.operators, node.nodes}) {
+        for (const auto &bytes : {noise, std::string("GET / HTTP/1.1\r\nHost: parts\r\nX: "), std::string("\xff\x00\x00\x00\x00\x00\x00\x00\x01\x7f", 10)}) {
+            sendBytes(port, SOCK_STREAM, bytes);
+        }
+    }
+    for (int i = 0; i < 100; ++i) {
+        sendBytes(node.nodes, SOCK_DGRAM, noise.substr(static_cast<std::size_t>(i), 900));
+    }
+    http_request bad;
+    bad.method = "PUT";
+    bad.target = "/announcement";
+    bad.body = R"({"service":"","slots":-1})";
+    const auto refused = callAndWait(node.upstream, bad, patience);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 400);
+    EXPECT_EQ(call(0, request("after-noise")).status, 200);
+    const auto status = askOperators(node, token, "GET", "/v1/status");
+    ASSERT_TRUE(status);
+    EXPECT_TRUE(everyUpstreamIsReady(*status, 2));
+}
+
+} // namespace
--- /dev/null
+++ b/bench/tests/version_store_test.cpp
@@ -0,0 +1,149 @@
+/// @file version_store_test.cpp
+/// Versions in the platform's store: racing operators, lost answers, outages, against the stand-in.
+#include "store_standin.h"
+#include "turmericspar/platform/version_store.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace turmericspar;
+using verdict = submission_result::verdict;
+
+/// A store with its faults, and nodes that use it.
+class version_store_test : public testing::Test
+{
+protected:
+    struct node
+    {
+        node(event_loop &loop, const endpoint &address, std::uint64_t seed)
+            : access(loop, {address, {300}, {1000}, {}, {}, {}})
+            , versions(
+                  loop, access, "test", log, [] {}, seed)
+        {
+        }
+        version_log log;
+        store access;
+        version_store versions;
+    };
+
+    version_store_test() : platform(loop), address(*platform.listen({"127.0.0.1", 0})), first(loop, address, 1), second(loop, address, 2) { }
+
+    static version_record record(const std::string &submission, int retries)
+    {
+        version_record made;
+        made.submission = submission;
+        made.author = "a";
+        made.reason = "r";
+        made.time = "t";
+        made.patch = {{"retries_per_request", retries}};
+        return made;
+    }
+
+    submission_result submit(node &by, const version_record &patch, std::uint64_t base)
+    {
+        submission_result got;
+        by.versions.submit(patch, base, [&](const submission_result &result) {
+            got = result;
+            loop.quit();
+        });
+        loop.run();
+        return got;
+    }
+
+    event_loop loop;
+    store_standin platform;
+    endpoint address;
+    node first;
+    node second;
+};
+
+TEST_F(version_store_test, accepts_and_refuses_a_stale_base)
+{
+    EXPECT_EQ(submit(first, record("a", 1), 0).what, verdict::accepted);
+    const auto stale = submit(second, record("b", 2), 0);
+    EXPECT_EQ(stale.what, verdict::conflict);
+    EXPECT_EQ(stale.version, 1U);
+    EXPECT_EQ(second.log.inForce().retriesPerRequest, 1);
+    EXPECT_EQ(submit(second, record("b", 2), 1).version, 2U);
+}
+
+TEST_F(version_store_test, of_two_racing_operators_one_wins)
+{
+    std::vector<submission_result> results;
+    const auto done = [&](const submission_result &result) {
+        results.push_back(result);
+        if (results.size() == 2) {
+            loop.quit();
+        }
+    };
+    first.versions.submit(record("a", 1), 0, done);
+    second.versions.submit(record("b", 2), 0, done);
+    loop.run();
+    const auto accepted = std::count_if(results.begin(), results.end(), [](const auto &result) { return result.what == verdict::accepted; });
+    const auto conflicts = std::count_if(results.begin(), results.end(), [](const auto &result) { return result.what == verdict::conflict; });
+    EXPECT_EQ(accepted, 1);
+    EXPECT_EQ(conflicts, 1);
+}
+
+TEST_F(version_store_test, a_lost_answer_neither_doubles_nor_conflicts)
+{
+    platform.faults().loseAnswers = 1;
+    const auto result = submit(first, record("a", 1), 0);
+    EXPECT_EQ(result.what, verdict::accepted);
+    EXPECT_EQ(result.version, 1U);
+    EXPECT_EQ(platform.keyCount(), 1U);
+    // The operator asks again, through another node, with the same submission.
+    const auto again = submit(second, record("a", 1), 0);
+    EXPECT_EQ(again.what, verdict::accepted);
+    EXPECT_EQ(again.version, 1U);
+    EXPECT_EQ(platform.keyCount(), 1U);
+}
+
+TEST_F(version_store_test, nothing_is_accepted_while_the_store_is_down)
+{
+    platform.faults().down = true;
+    EXPECT_EQ(submit(first, record("a", 1), 0).what, verdict::unavailable);
+    EXPECT_EQ(first.log.version(), 0U);
+    platform.faults().down = false;
+    EXPECT_EQ(submit(first, record("a", 1), 0).what, verdict::accepted);
+}
+
+TEST_F(version_store_test, an_unsound_document_is_refused_with_its_mistakes)
+{
+    auto patch = record("a", 1);
+    patch.patch = {{"default_class", "nobody"}};
+    const auto result = submit(first, patch, 0);
+    EXPECT_EQ(result.what, verdict::invalid);
+    ASSERT_EQ(result.mistakes.size(), 1U);
+    EXPECT_EQ(result.mistakes[0].path, "/default_class");
+    EXPECT_EQ(platform.keyCount(), 0U);
+}
+
+TEST_F(version_store_test, a_watch_brings_what_others_submit)
+{
+    second.versions.setWatching(true);
+    submit(first, record("a", 7), 0);
+    const auto check = loop.every({10}, [&] {
+        if (second.log.version() == 1) {
+            loop.quit();
+        }
+    });
+    loop.run();
+    EXPECT_EQ(second.log.inForce().retriesPerRequest, 7);
+}
+
+TEST_F(version_store_test, a_new_node_starts_from_a_snapshot)
+{
+    second.versions.setWatching(true);
+    for (std::uint64_t version = 0; version < 120; ++version) {
+        ASSERT_EQ(submit(first, record("s" + std::to_string(version), static_cast<int>(version % 5)), version).what, verdict::accepted);
+    }
+    node fresh(loop, address, 3);
+    fresh.versions.refresh([&](bool) { loop.quit(); });
+    loop.run();
+    EXPECT_EQ(fresh.log.version(), 120U);
+    EXPECT_EQ(fresh.log.document(), first.log.document());
+}
+
+} // namespace
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -133,8 +133,11 @@
 
     gossip_message compose(gossip_kind kind, std::uint64_t sequence, const node_id &to);
     void fillNews(gossip_message &message);
-    bool learn(const member &told, millis now);
-    void replace(member &known, const member &told, millis now);
+    /// Whether what was learned is handed on. A whole table is not: others have it.
+    enum class spreading { no, as_news };
+
+    bool learn(const member &told, spreading how, millis now);
+    void replace(member &known, const member &told, spreading how, millis now);
     void considerSync(const gossip_message &message, millis now);
     void reviseSelf(std::uint32_t revision);
     void learnAboutSelf(const member &told);
--- a/packages/policy/include/turmericspar/policy/once.h
+++ b/packages/policy/include/turmericspar/policy/once.h
@@ -100,7 +100,7 @@
     void evict(millis wallNow);
     void forget(const std::string &key);
 
-    const once_tunables m_tuning;
+    once_tunables m_tuning;
     millis m_memorySince;
     std::unordered_map<std::string, entry> m_entries;
     std::multimap<millis, std::string> m_byAge;
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -158,7 +158,7 @@
     }
 }
 
-bool membership::learn(const member &told, millis now)
+bool membership::learn(const member &told, spreading how, millis now)
 {
     if (told.node == m_self.node) {
         learnAboutSelf(told);
@@ -167,7 +167,7 @@
     const auto known = m_members.find(told.node);
     if (known == m_members.end()) {
         if (isLive(told)) {
-            replace(m_members[told.node], told, now);
+            replace(m_members[told.node], told, how, now);
         }
         return isLive(told);
     }
@@ -176,12 +176,12 @@
         return false;
     }
     const bool matters = told.ready != known->second.ready || isLive(told) != isLive(known->second);
-    replace(known->second, told, now);
+    replace(known->second, told, how, now);
     return matters;
 }
 
 /// Takes a new entry into the table and spreads it.
-void membership::replace(member &known, const member &told, millis now)
+void membership::replace(member &known, const member &told, spreading how, millis now)
 {
     if (told.state != known.state || !m_stateSince.contains(told.node)) {
         m_stateSince[told.node] = now;
@@ -192,14 +192,18 @@
     known.version = version;
     m_digest ^= digestOf(known);
     m_learnedAt = now;
-    queueNews(told.node);
+    if (how == spreading::as_news) {
+        queueNews(told.node);
+    } else {
+        m_changed.push_back(told.node);
+    }
 }
 
 bool membership::learnTable(const std::vector<member> &table, millis now)
 {
     bool learned = false;
     for (const auto &told : table) {
-        learned = learn(told, now) || learned;
+        learned = learn(told, spreading::no, now) || learned;
     }
     return learned;
 }
@@ -209,7 +213,7 @@
     // Step 1. What it tells; what matters to callers is handed on at once
     bool matters = false;
     for (const auto &told : message.news) {
-        matters = learn(told, now) || matters;
+        matters = learn(told, spreading::as_news, now) || matters;
     }
     if (matters) {
         tellAtOnce(out);
@@ -339,7 +343,7 @@
     }
     member suspected = found->second;
     suspected.state = member_state::suspect;
-    replace(found->second, suspected, now);
+    replace(found->second, suspected, spreading::as_news, now);
 }
 
 void membership::expireSuspects(millis now)
@@ -350,7 +354,7 @@
         if (entry.state == member_state::suspect && since > m_tuning.period * m_tuning.suspicionPeriods) {
             member dead = entry;
             dead.state = member_state::dead;
-            replace(entry, dead, now);
+            replace(entry, dead, spreading::as_news, now);
         }
         if (!isLive(entry) && since > m_tuning.deadKept) {
             m_stateSince.erase(node);
--- /dev/null
+++ b/packages/policy/tests/membership_test.cpp
@@ -0,0 +1,204 @@
+/// @file membership_test.cpp
+/// Membership of many nodes on a virtual clock, with loss, partitions, restarts.
+#include "turmericspar/policy/membership.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace turmericspar;
+
+/// Member tables that exchange messages through a net which loses some and cuts some.
+class gossip_net
+{
+public:
+    explicit gossip_net(int count, std::uint64_t seed = 1) : m_random(seed)
+    {
+        for (int i = 0; i < count; ++i) {
+            start(i);
+        }
+    }
+
+    static node_id name(int index) { return "10.0.0." + std::to_string(index) + ":1"; }
+
+    void start(int index)
+    {
+        member self;
+        self.node = name(index);
+        self.service = "s";
+        self.ready = true;
+        self.incarnation = static_cast<std::uint64_t>(now.count) + 1;
+        nodes[name(index)] = std::make_unique<membership>(membership_tunables{}, self, m_random());
+        nodes[name(index)]->setSeeds({name(0), name(1)});
+    }
+
+    void stop(int index) { nodes.erase(name(index)); }
+
+    void run(millis span)
+    {
+        const millis end = now + span;
+        for (; now < end; now += millis{50}) {
+            std::vector<addressed_gossip> letters;
+            for (auto &[id, node] : nodes) {
+                node->tick(now, letters);
+                sync(*node, id);
+            }
+            deliver(letters);
+        }
+    }
+
+    void deliver(std::vector<addressed_gossip> letters)
+    {
+        while (!letters.empty()) {
+            std::vector<addressed_gossip> answers;
+            for (const auto &letter : letters) {
+                const auto receiver = nodes.find(letter.to);
+                const bool lost = static_cast<double>(m_random() % 1000) < loss * 1000;
+                if (receiver == nodes.end() || lost || (cut && cut(letter.message.from, letter.to))) {
+                    continue;
+                }
+                receiver->second->received(letter.message, now, answers);
+            }
+            letters = std::move(answers);
+        }
+    }
+
+    /// Hands over whole tables where they are asked for.
+    void sync(membership &node, const node_id &id)
+    {
+        for (const auto &from : node.takeSyncs()) {
+            const auto source = nodes.find(from);
+            if (source != nodes.end() && !(cut && cut(id, from))) {
+                node.learnTable(source->second->table(), now);
+            }
+        }
+    }
+
+    bool allSee(std::size_t live) const
+    {
+        for (const auto &[id, node] : nodes) {
+            if (node->liveCount() != live) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::map<node_id, std::unique_ptr<membership>> nodes;
+    millis now{1};
+    double loss = 0;
+    std::function<bool(const node_id &, const node_id &)> cut;
+
+private:
+    std::mt19937_64 m_random;
+};
+
+TEST(membership, everyone_finds_everyone)
+{
+    gossip_net net(40);
+    net.run({20'000});
+    EXPECT_TRUE(net.allSee(40));
+}
+
+TEST(membership, a_dead_member_is_found_and_nobody_else)
+{
+    gossip_net net(30);
+    net.run({20'000});
+    net.stop(7);
+    net.run({15'000});
+    EXPECT_TRUE(net.allSee(29));
+}
+
+TEST(membership, bears_the_loss_of_messages)
+{
+    gossip_net net(20);
+    net.loss = 0.1;
+    net.run({60'000});
+    EXPECT_TRUE(net.allSee(20));
+}
+
+TEST(membership, two_sides_of_a_partition_merge_by_themselves)
+{
+    gossip_net net(20);
+    net.run({20'000});
+    const auto side = [](const node_id &node) { return std::stoi(node.substr(7)) < 10; };
+    net.cut = [&](const node_id &from, const node_id &to) { return side(from) != side(to); };
+    net.run({30'000});
+    EXPECT_TRUE(net.allSee(10));
+    net.cut = nullptr;
+    net.run({60'000});
+    EXPECT_TRUE(net.allSee(20));
+}
+
+TEST(membership, a_restarted_member_is_known_again)
+{
+    gossip_net net(10);
+    net.run({15'000});
+    net.stop(3);
+    net.run({1000});
+    net.start(3);
+    net.run({20'000});
+    EXPECT_TRUE(net.allSee(10));
+}
+
+TEST(membership, a_drain_is_known_everywhere_within_two_seconds)
+{
+    gossip_net net(60);
+    net.run({30'000});
+    std::vector<addressed_gossip> letters;
+    net.nodes[gossip_net::name(5)]->setSelf("s", false, 0, letters);
+    net.deliver(letters);
+    net.run({2000});
+    for (const auto &[id, node] : net.nodes) {
+        EXPECT_FALSE(node->find(gossip_net::name(5))->ready) << id;
+    }
+}
+
+TEST(membership, a_member_that_says_goodbye_is_left_at_once)
+{
+    gossip_net net(20);
+    net.run({20'000});
+    std::vector<addressed_gossip> letters;
+    net.nodes[gossip_net::name(5)]->leave(letters);
+    net.deliver(letters);
+    net.stop(5);
+    net.run({2000});
+    for (const auto &[id, node] : net.nodes) {
+        EXPECT_EQ(node->find(gossip_net::name(5))->state, member_state::left);
+    }
+}
+
+RC_GTEST_PROP(membership, any_news_in_any_order_gives_the_same_table, ())
+{
+    const auto entries =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(0, 3), rc::gen::inRange(0, 4)));
+    const auto shuffled = *rc::gen::map(rc::gen::arbitrary<std::uint32_t>(), [&](std::uint32_t seed) {
+        auto copy = entries;
+        std::shuffle(copy.begin(), copy.end(), std::mt19937_64(seed));
+        return copy;
+    });
+    const auto learnAll = [](const std::vector<std::tuple<int, int, int>> &told) {
+        member self;
+        self.node = "10.0.0.99:1";
+        membership node({}, self, 1);
+        member base;
+        base.node = "10.0.0.1:1";
+        node.learnTable({base}, {1});
+        for (const auto &[incarnation, revision, state] : told) {
+            member entry = base;
+            entry.incarnation = static_cast<std::uint64_t>(incarnation);
+            entry.revision = static_cast<std::uint32_t>(revision);
+            entry.state = static_cast<member_state>(state);
+            node.learnTable({entry}, {1});
+        }
+        const auto *known = node.find("10.0.0.1:1");
+        return std::tuple(known->incarnation, known->revision, known->state);
+    };
+    RC_ASSERT(learnAll(entries) == learnAll(shuffled));
+}
+
+} // namespace
--- /dev/null
+++ b/packages/policy/tests/once_test.cpp
@@ -0,0 +1,317 @@
+/// @file once_test.cpp
+/// At most once: the table by itself, and every interleaving of a small deployment.
+#include "turmericspar/policy/once.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace {
+
+using namespace turmericspar;
+
+constexpr once_tunables tuning;
+
+/// Makes a key that tells a time.
+std::string keyAt(millis time)
+{
+    std::array<char, 40> text{};
+    const auto count = static_cast<unsigned long long>(time.count);
+    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7abc-8def-0123456789ab", count >> 16U, count & 0xffffU);
+    return text.data();
+}
+
+TEST(key_time, reads_version_7_and_nothing_else)
+{
+    ASSERT_TRUE(keyTime(keyAt({1'700'000'000'123})));
+    EXPECT_EQ(keyTime(keyAt({1'700'000'000'123}))->count, 1'700'000'000'123);
+    EXPECT_FALSE(keyTime("booking-1"));
+    EXPECT_FALSE(keyTime("018bcfe5-687b-4abc-8def-0123456789ab"));
+    EXPECT_FALSE(keyTime("018bcfe5-687b-7abc-8def-0123456789zz"));
+}
+
+TEST(once_table, runs_a_declared_first_attempt_once)
+{
+    once_table table(tuning, {0});
+    const auto key = keyAt({10'000});
+    EXPECT_EQ(table.begin(key, 0, {10'000}), key_admission::run);
+    EXPECT_EQ(table.begin(key, 0, {10'001}), key_admission::running);
+    table.finish(key, "answer", {10'002});
+    EXPECT_EQ(table.begin(key, 0, {10'003}), key_admission::finished);
+    EXPECT_EQ(table.answer(key), "answer");
+}
+
+TEST(once_table, a_late_first_attempt_finds_its_key_barred)
+{
+    once_table table(tuning, {0});
+    const auto key = keyAt({10'000});
+    EXPECT_EQ(table.inquire(key, 5, {10'000}), key_finding::clear);
+    EXPECT_EQ(table.begin(key, 0, {10'001}), key_admission::barred);
+    EXPECT_EQ(table.begin(key, 6, {10'001}), key_admission::barred);
+    EXPECT_EQ(table.begin(key, 5, {10'002}), key_admission::run);
+}
+
+TEST(once_table, a_permit_lapses_and_a_later_inquiry_takes_over)
+{
+    once_table table(tuning, {0});
+    const auto key = keyAt({10'000});
+    EXPECT_EQ(table.inquire(key, 5, {10'000}), key_finding::clear);
+    EXPECT_EQ(table.inquire(key, 6, {10'100}), key_finding::contested);
+    const millis lapsed = millis{10'000} + tuning.permitLife;
+    EXPECT_EQ(table.inquire(key, 6, lapsed), key_finding::clear);
+    EXPECT_EQ(table.begin(key, 5, lapsed), key_admission::barred);
+}
+
+TEST(once_table, a_restarted_node_does_not_claim_to_remember)
+{
+    once_table table(tuning, {20'000});
+    EXPECT_EQ(table.inquire(keyAt({10'000}), 5, {21'000}), key_finding::no_memory);
+    EXPECT_EQ(table.begin(keyAt({15'000}), 0, {21'000}), key_admission::no_memory);
+    EXPECT_EQ(table.inquire("no-time", 5, {21'000}), key_finding::no_memory);
+    EXPECT_EQ(table.inquire(keyAt({30'000}), 5, {30'000}), key_finding::clear);
+}
+
+TEST(once_table, what_is_forgotten_is_said_not_to_be_known)
+{
+    once_tunables small;
+    small.bytesMax = 10'000;
+    once_table table(small, {0});
+    const auto first = keyAt({10'000});
+    table.begin(first, 0, {10'000});
+    table.finish(first, std::string(500, 'a'), {10'000});
+    for (int i = 1; i < 100; ++i) {
+        const millis now{10'000.0 + i * 100};
+        table.begin(keyAt(now), 0, now);
+        table.finish(keyAt(now), std::string(500, 'a'), now);
+    }
+    EXPECT_LE(table.bytes(), small.bytesMax);
+    EXPECT_EQ(table.inquire(first, 5, {20'000}), key_finding::no_memory);
+}
+
+RC_GTEST_PROP(once_table, bytes_stay_bounded, (const std::vector<std::pair<std::string, std::uint8_t>> &steps))
+{
+    once_tunables small;
+    small.bytesMax = 2000;
+    once_table table(small, {0});
+    millis now{100'000};
+    for (const auto &[key, step] : steps) {
+        now += millis{1};
+        if (step % 3 == 0) {
+            table.begin(key, 0, now);
+        } else if (step % 3 == 1) {
+            table.finish(key, std::string(step, 'x'), now);
+        } else {
+            table.inquire(key, step, now);
+        }
+        RC_ASSERT(table.bytes() <= small.bytesMax + 1000);
+    }
+}
+
+/// A deployment of a few serving nodes, one key, a declared first attempt, and resends that inquire. Messages may be
+/// lost, repeated and late; a node may restart and forget; time may pass by more than a permit lives.
+class small_deployment
+{
+public:
+    struct options
+    {
+        int nodes = 2;
+        int resends = 2;
+        int restarts = 1;
+        bool believeEveryone = false; ///< the broken variant: a node without memory counts as clear
+    };
+
+    struct run_message
+    {
+        int to = 0;
+        std::uint64_t incarnation = 0;
+        inquiry_id permit = 0;
+        auto operator<=>(const run_message &) const = default;
+    };
+    struct ask_message
+    {
+        int to = 0;
+        inquiry_id inquiry = 0;
+        auto operator<=>(const ask_message &) const = default;
+    };
+
+    explicit small_deployment(options chosen) : m_options(chosen) { }
+
+    /// Visits every reachable history up to a depth.
+    /// @return the most runs of the key in any of them
+    int explore(int depth)
+    {
+        world start;
+        for (int i = 0; i < m_options.nodes; ++i) {
+            start.tables.emplace_back(tuning, millis{0});
+        }
+        start.incarnations.assign(static_cast<std::size_t>(m_options.nodes), 1);
+        start.resendsLeft = m_options.resends;
+        start.restartsLeft = m_options.restarts;
+        visit(start, depth);
+        return m_mostRuns;
+    }
+
+    std::size_t states() const { return m_states; }
+
+private:
+    struct world
+    {
+        std::vector<once_table> tables;
+        std::vector<std::uint64_t> incarnations;
+        std::vector<run_message> runs; ///< on their way
+        std::vector<ask_message> asks; ///< on their way
+        std::map<inquiry_id, std::map<int, key_finding>> answers;
+        std::set<inquiry_id> ruled;
+        bool firstSent = false;
+        int resendsLeft = 0;
+        int restartsLeft = 0;
+        int runCount = 0;
+        millis now{10'000};
+    };
+
+    static std::string key() { return keyAt({10'000}); }
+
+    void visit(const world &here, int depth)
+    {
+        ++m_states;
+        m_mostRuns = std::max(m_mostRuns, here.runCount);
+        if (depth == 0 || m_mostRuns > 1) {
+            return;
+        }
+        const auto step = [&](const std::function<void(world &)> &change) {
+            world next = here;
+            change(next);
+            visit(next, depth - 1);
+        };
+
+        // The caller sends its first attempt, to any node
+        if (!here.firstSent) {
+            for (int node = 0; node < m_options.nodes; ++node) {
+                step([&](world &next) {
+                    next.firstSent = true;
+                    next.runs.push_back({node, next.incarnations[static_cast<std::size_t>(node)], 0});
+                });
+            }
+        }
+        // It sends again: an inquiry asks every node
+        if (here.firstSent && here.resendsLeft > 0) {
+            step([&](world &next) {
+                const auto inquiry = static_cast<inquiry_id>(next.resendsLeft--);
+                for (int node = 0; node < m_options.nodes; ++node) {
+                    next.asks.push_back({node, inquiry});
+                }
+            });
+        }
+        // A message arrives; it may stay in the net to arrive once more
+        for (std::size_t i = 0; i < here.runs.size(); ++i) {
+            if (i > 0 && here.runs[i] == here.runs[i - 1]) {
+                continue;
+            }
+            step([&](world &next) { arriveRun(next, i, false); });
+            step([&](world &next) { arriveRun(next, i, true); });
+        }
+        for (std::size_t i = 0; i < here.asks.size(); ++i) {
+            for (int chosen = 0; chosen < m_options.nodes; ++chosen) {
+                step([&](world &next) { arriveAsk(next, i, chosen); });
+            }
+        }
+        // A run ends
+        for (int node = 0; node < m_options.nodes; ++node) {
+            auto copy = here.tables[static_cast<std::size_t>(node)];
+            if (copy.begin(key(), 0, here.now) == key_admission::running) {
+                step([&](world &next) { next.tables[static_cast<std::size_t>(node)].finish(key(), "done", next.now); });
+            }
+        }
+        // A node restarts and has forgotten everything
+        if (here.restartsLeft > 0) {
+            for (int node = 0; node < m_options.nodes; ++node) {
+                step([&](world &next) {
+                    --next.restartsLeft;
+                    next.now += millis{1};
+                    next.tables[static_cast<std::size_t>(node)] = once_table(tuning, next.now);
+                    ++next.incarnations[static_cast<std::size_t>(node)];
+                });
+            }
+        }
+        // Time passes
+        if (here.now.count < 20'000) {
+            step([&](world &next) { next.now += tuning.permitLife; });
+        }
+    }
+
+    void arriveRun(world &next, std::size_t index, bool again)
+    {
+        const auto message = next.runs[index];
+        if (!again) {
+            next.runs.erase(next.runs.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        const auto node = static_cast<std::size_t>(message.to);
+        // The link refuses what was meant for an earlier life.
+        if (message.incarnation != next.incarnations[node]) {
+            return;
+        }
+        if (next.tables[node].begin(key(), message.permit, next.now) == key_admission::run) {
+            ++next.runCount;
+        }
+    }
+
+    /// @param chosen where the entry sends the call if this answer makes the inquiry come out well
+    void arriveAsk(world &next, std::size_t index, int chosen)
+    {
+        const auto message = next.asks[index];
+        next.asks.erase(next.asks.begin() + static_cast<std::ptrdiff_t>(index));
+        auto finding = next.tables[static_cast<std::size_t>(message.to)].inquire(key(), message.inquiry, next.now);
+        if (m_options.believeEveryone && finding == key_finding::no_memory) {
+            finding = key_finding::clear;
+        }
+        auto &answers = next.answers[message.inquiry];
+        answers[message.to] = finding;
+
+        once_inquiry inquiry({}, false);
+        std::vector<node_id> all;
+        for (int node = 0; node < m_options.nodes; ++node) {
+            all.push_back(std::to_string(node));
+        }
+        for (const auto &[node, found] : answers) {
+            inquiry.answered(std::to_string(node), found, all);
+        }
+        if (inquiry.verdict() == inquiry_verdict::run && next.ruled.insert(message.inquiry).second) {
+            next.runs.push_back({chosen, next.incarnations[static_cast<std::size_t>(chosen)], message.inquiry});
+        }
+    }
+
+    options m_options;
+    int m_mostRuns = 0;
+    std::size_t m_states = 0;
+};
+
+TEST(at_most_once, holds_in_every_interleaving_of_two_nodes)
+{
+    small_deployment deployment({2, 1, 1, false});
+    EXPECT_LE(deployment.explore(8), 1);
+    std::cout << "states=" << deployment.states() << '\n';
+}
+
+TEST(at_most_once, holds_when_two_resends_race)
+{
+    small_deployment deployment({2, 2, 0, false});
+    EXPECT_LE(deployment.explore(9), 1);
+    std::cout << "states=" << deployment.states() << '\n';
+}
+
+TEST(at_most_once, holds_on_three_nodes)
+{
+    small_deployment deployment({3, 1, 1, false});
+    EXPECT_LE(deployment.explore(8), 1);
+    std::cout << "states=" << deployment.states() << '\n';
+}
+
+TEST(at_most_once, the_exploration_finds_a_broken_variant)
+{
+    small_deployment deployment({2, 1, 1, true});
+    EXPECT_GT(deployment.explore(8), 1);
+}
+
+} // namespace
