--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr millis tickPeriod{5};
+/// Between two looks at a key whose first attempt still runs.
+constexpr millis recheckPause{100};
+/// How long beyond its deadline a call with a key may go on, so that a resend finds its answer.
+constexpr millis keyedLinger{30'000};
 constexpr int serverErrorFirst = 500;
 /// Pass-through mode waits for an upstream whatever the caller's deadline is, as a plain proxy does.
 constexpr millis passThroughTimeout{60'000};
@@ -32,6 +36,12 @@
     return response.status == 503 && response.fields.get(field::outcome) == outcomeNames.name(call_outcome::not_run);
 }
 
+/// @return a hash of what a request asks for, the same for every copy of it.
+request_digest digestOf(const http_request &request)
+{
+    return stableHash(request.body, stableHash(request.method + " " + request.target));
+}
+
 call_context contextFromWire(const wire::CallRequest &request, millis now)
 {
     call_context context;
@@ -63,6 +73,7 @@
     , m_serving(settings.tuning, settings.mode)
     , m_once(loop, m_self, seed, m_peers.once)
     , m_pool(loop, {}, [this](call_id id, http_outcome outcome) { ran(id, std::move(outcome)); })
+    , m_suspects(suspects_tunables{})
     , m_tick(loop.every(tickPeriod, [this] { tick(); }))
 {
 }
@@ -81,6 +92,8 @@
         refuseAtOnce(exchange, label, 0, mistake->reason, mistake->detail);
     } else if (m_shuttingDown && description.parent.empty()) {
         refuseAtOnce(exchange, label, description.rank, refusal_reason::shutting_down, "this node is shutting down");
+    } else if (m_suspects.level(digestOf(exchange->request()), wallNow()) == suspicion_level::convicted) {
+        refuseAtOnce(exchange, label, description.rank, refusal_reason::suspect, "upstreams crashed when they ran this request");
     } else if (!known) {
         refuseAtOnce(exchange, label, description.rank, refusal_reason::unknown_service, "no upstream ever announced this service");
     } else {
@@ -152,12 +165,22 @@
     }
     m_entering.emplace(id, std::move(call));
     if (keyed && !description.firstAttempt && m_settings.mode == policy_mode::full) {
-        m_once.judge(description.service, description.idempotencyKey, [this, id](const once_ruling &ruling) { ruled(id, ruling); });
+        judge(id);
     } else {
         submit(id);
     }
 }
 
+/// Looks into the key of a call.
+void call_path::judge(call_id id)
+{
+    const auto found = m_entering.find(id);
+    if (found != m_entering.end()) {
+        const auto &call = found->second;
+        m_once.judge(call.service, call.context.onceKey, [this, id](const once_ruling &ruling) { ruled(id, ruling); });
+    }
+}
+
 void call_path::submit(call_id id)
 {
     const auto found = m_entering.find(id);
@@ -183,6 +206,11 @@
         submit(id);
         return;
     }
+    const bool mayWait = found->second.context.deadline - monotonicNow() > recheckPause * 2;
+    if (ruling.verdict == inquiry_verdict::running && mayWait) {
+        found->second.recheck = m_loop.after(recheckPause, [this, id] { judge(id); });
+        return;
+    }
     entry_action action;
     action.what = entry_action::verb::finish;
     action.id = id;
@@ -235,7 +263,7 @@
     context.retries = action.retries;
     const auto attempt = static_cast<std::uint32_t>(action.attempt);
     if (action.node == m_self) {
-        serve({true, {}, action.id, attempt}, context, request);
+        serve({true, false, {}, action.id, attempt}, context, request);
         return;
     }
     wire::CallRequest out;
@@ -370,7 +398,7 @@
 
 void call_path::requested(const link_identity &from, wire::CallRequest &request, bool current)
 {
-    const served_origin origin{false, from, request.call(), request.attempt()};
+    const served_origin origin{false, false, from, request.call(), request.attempt()};
     if (!current || request.service() != m_service) {
         wire::CallReply reply;
         reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
@@ -388,20 +416,57 @@
 
 void call_path::serve(served_origin origin, call_context context, http_request request)
 {
-    const millis now = monotonicNow();
     const call_id id = m_nextCall++;
-    const auto below = m_levelsBelow.find(context.klass);
-    const double levelBelow = below == m_levelsBelow.end() ? 0 : below->second.highest(now);
-    offered_call offered{id, context};
-    served_call call{std::move(origin), context, std::move(request), now, {0}};
+    const auto digest = digestOf(request);
+    const auto held = m_settings.mode == policy_mode::full ? m_suspects.level(digest, wallNow()) : suspicion_level::none;
+    served_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}};
     m_servedByOrigin[{call.origin.from, call.origin.call}] = id;
-    auto &kept = m_served.emplace(id, std::move(call)).first->second;
+    m_served.emplace(id, std::move(call));
+    if (held == suspicion_level::convicted) {
+        refuseServed(id, refusal_reason::suspect);
+    } else if (held == suspicion_level::suspect) {
+        m_suspectsWaiting.push_back(id);
+        offerNextSuspect();
+    } else {
+        offer(id);
+    }
+}
+
+/// Lets the decisions have a call.
+void call_path::offer(call_id id)
+{
+    const millis now = monotonicNow();
+    auto &call = m_served.at(id);
+    const auto below = m_levelsBelow.find(call.context.klass);
+    const double levelBelow = below == m_levelsBelow.end() ? 0 : below->second.highest(now);
+    offered_call offered{id, call.context};
     std::vector<serving_action> actions;
     m_serving.offer(offered, levelBelow, now, actions);
-    kept.context = offered.context;
+    call.context = offered.context;
     act(actions);
 }
 
+/// Suspects go to the upstream one at a time, so that a crash tells which of them it was.
+void call_path::offerNextSuspect()
+{
+    while (!m_served.contains(m_suspectOffered) && !m_suspectsWaiting.empty()) {
+        const auto id = m_suspectsWaiting.front();
+        m_suspectsWaiting.pop_front();
+        const auto found = m_served.find(id);
+        if (found == m_served.end()) {
+            continue;
+        }
+        if (m_suspects.level(found->second.digest, wallNow()) == suspicion_level::convicted) {
+            refuseServed(id, refusal_reason::suspect);
+        } else if (found->second.context.deadline <= monotonicNow()) {
+            refuseServed(id, refusal_reason::deadline);
+        } else {
+            m_suspectOffered = id;
+            offer(id);
+        }
+    }
+}
+
 void call_path::act(const std::vector<serving_action> &actions)
 {
     for (const auto &action : actions) {
@@ -438,7 +503,8 @@
     request.fields.set(field::klass, call.context.klass);
     request.fields.set(field::rank, std::to_string(call.context.place.rank));
     const bool passThrough = m_settings.mode == policy_mode::none;
-    m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}));
+    const millis linger = call.context.onceKey.empty() ? millis{0} : keyedLinger;
+    m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}) + linger);
 }
 
 /// Checks the key of a call that may run at most once, and answers in its place if it may not begin.
@@ -507,6 +573,15 @@
         fieldsToWire(outcome.response.fields, reply);
         reply.set_body(std::move(outcome.response.body));
     }
+    const auto found = m_served.find(id);
+    if (found != m_served.end()) {
+        const bool brokeOff = outcome.error && outcome.sent && outcome.error != errc::timeout;
+        if (brokeOff) {
+            m_suspects.broke(found->second.digest, m_serving.running(), monotonicNow());
+        } else if (!outcome.error) {
+            m_suspects.survived(found->second.digest, wallNow());
+        }
+    }
     endServed(id, std::move(reply), key_note::ended);
 }
 
@@ -591,8 +666,17 @@
     if (found == m_servedByOrigin.end()) {
         return;
     }
+    const auto id = found->second;
+    auto &call = m_served.at(id);
+    const bool keyed = !call.context.onceKey.empty() && m_settings.mode == policy_mode::full;
+    if (keyed && call.startedAt.count > 0) {
+        // It may have had its effect already: let it end, so that a resend finds its answer.
+        call.origin.abandoned = true;
+        m_servedByOrigin.erase(found);
+        return;
+    }
     std::vector<serving_action> actions;
-    m_serving.giveUp(found->second, refusal_reason::cancelled, monotonicNow(), actions);
+    m_serving.giveUp(id, refusal_reason::cancelled, monotonicNow(), actions);
     act(actions);
 }
 
@@ -610,6 +694,9 @@
 {
     reply.set_call(origin.call);
     reply.set_attempt(origin.attempt);
+    if (origin.abandoned) {
+        return;
+    }
     if (origin.local) {
         replied(m_self, reply);
     } else {
@@ -731,6 +818,12 @@
     std::vector<serving_action> servingActions;
     m_serving.tick(now, servingActions);
     act(servingActions);
+    m_suspects.tick(now, wallNow());
+    const auto news = m_suspects.takeNews();
+    if (!news.empty()) {
+        m_peers.tellSuspicions(news);
+    }
+    offerNextSuspect();
     if (!m_service.empty()) {
         m_pool.configure(m_said.address, wantedConnections(), m_said.connections);
     }
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -13,6 +13,7 @@
 #include "turmericspar/policy/entry.h"
 #include "turmericspar/policy/routing.h"
 #include "turmericspar/policy/serving.h"
+#include "turmericspar/policy/suspects.h"
 #include "turmericspar/upstream/announcement.h"
 #include "turmericspar/upstream/upstream_pool.h"
 
@@ -31,6 +32,7 @@
     std::function<void(const node_id &, wire::CallRequest, millis deadline)> sendRequest;
     std::function<void(const node_id &, const wire::CallCancel &)> sendCancel;
     std::function<void(const link_identity &, wire::CallReply &&)> sendReply;
+    std::function<void(const std::vector<suspicion> &)> tellSuspicions;
     once_guard_peers once;
 };
 
@@ -55,6 +57,8 @@
     ~call_path();
 
     routing &routes() { return m_routes; }
+    /// Takes in what other nodes hold against requests.
+    void suspectedElsewhere(const suspicion &told) { m_suspects.learn(told); }
     once_guard &onceKeys() { return m_once; }
     const once_guard &onceKeys() const { return m_once; }
     call_metrics &metrics() { return m_metrics; }
@@ -100,12 +104,14 @@
         call_context context;
         millis since;
         std::unique_ptr<wire::CallReply> answer;
+        watch_ptr recheck; ///< for a resend whose first attempt still runs
     };
 
     /// Where the answer of a served call goes.
     struct served_origin
     {
         bool local = false;
+        bool abandoned = false; ///< nobody waits for the answer any more
         link_identity from;
         call_id call = 0;
         std::uint32_t attempt = 0;
@@ -117,6 +123,7 @@
         served_origin origin;
         call_context context;
         http_request request;
+        request_digest digest = 0;
         millis since;
         millis startedAt;
     };
@@ -124,12 +131,15 @@
     /// Whether the end of a call is the end of a run of its key.
     enum class key_note { none, ended };
 
+    void judge(call_id id);
     void submit(call_id id);
     void ruled(call_id id, const once_ruling &ruling);
     bool mayBegin(call_id id, const served_call &call);
     void noteKey(const served_call &call, const wire::CallReply &reply);
     void enter(const http_exchange_ptr &exchange, const call_description &description);
     void refuseAtOnce(const http_exchange_ptr &exchange, const std::string &service, int rank, refusal_reason reason, const std::string &detail);
+    void offer(call_id id);
+    void offerNextSuspect();
     void act(const std::vector<entry_action> &actions);
     void act(const std::vector<serving_action> &actions);
     void forward(const entry_action &action);
@@ -163,6 +173,9 @@
     call_metrics m_metrics;
     once_guard m_once;
     upstream_pool m_pool;
+    suspects m_suspects;
+    std::deque<call_id> m_suspectsWaiting;
+    call_id m_suspectOffered = 0; ///< the one suspect that waits for or runs at the upstream; 0 if there is none
     call_id m_nextCall = 1;
     std::unordered_map<call_id, entering_call> m_entering;
     std::unordered_map<call_id, served_call> m_served;
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -164,6 +164,7 @@
     peers.sendRequest = [this](const node_id &node, wire::CallRequest request, millis deadline) { m_links.sendRequest(node, std::move(request), deadline); };
     peers.sendCancel = [this](const node_id &node, const wire::CallCancel &cancel) { m_links.sendCancel(node, cancel); };
     peers.sendReply = [this](const link_identity &to, wire::CallReply &&reply) { m_links.reply(to, std::move(reply)); };
+    peers.tellSuspicions = [this](const std::vector<suspicion> &news) { tellSuspicions(news); };
     peers.once.ask = [this](const node_id &node, const wire::OnceAsk &ask) { m_links.askOnce(node, ask); };
     peers.once.answer = [this](const link_identity &to, wire::OnceAnswer &&answer) { m_links.answerOnce(to, std::move(answer)); };
     return peers;
@@ -181,6 +182,12 @@
     handlers.onConfigPush = [this](const wire::ConfigPush &push) { m_control.configPushed(push); };
     handlers.onMemberPull = [this](const link_identity &from) { m_control.membersPulled(from); };
     handlers.onMemberPush = [this](const wire::MemberPush &push) { m_control.membersPushed(push); };
+    handlers.onSuspicions = [this](const wire::SuspicionPush &push) {
+        for (const auto &entry : push.entries()) {
+            const auto level = static_cast<suspicion_level>(std::min<std::uint32_t>(entry.level(), suspicionNames.names.size() - 1));
+            m_calls.suspectedElsewhere({entry.digest(), level, {entry.at_ms()}});
+        }
+    };
     handlers.onOnceAsk = [this](const link_identity &from, const wire::OnceAsk &ask) { m_calls.onceKeys().asked(from, ask); };
     handlers.onOnceAnswer = [this](const node_id &from, const wire::OnceAnswer &answer) { m_calls.onceKeys().answered(from, answer); };
     return handlers;
@@ -219,10 +226,44 @@
     return true;
 }
 
+/// Tells the other nodes of the same service what is held against requests: they are the ones that may run them.
+void node_daemon::tellSuspicions(const std::vector<suspicion> &news)
+{
+    wire::SuspicionPush push;
+    for (const auto &item : news) {
+        auto *entry = push.add_entries();
+        entry->set_digest(item.digest);
+        entry->set_level(static_cast<std::uint32_t>(item.level));
+        entry->set_at_ms(item.at.count);
+        logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
+    }
+    for (const auto &[node, entry] : m_control.members().members()) {
+        const bool live = entry.state == member_state::alive || entry.state == member_state::suspect;
+        if (live && entry.service == m_calls.service()) {
+            m_links.tellSuspicions(node, push);
+        }
+    }
+}
+
+/// Writes a line when a member comes, goes, or is held for dead.
+void node_daemon::noteState(const member &entry)
+{
+    auto &known = m_statesLogged[entry.node];
+    if (known.first == entry.incarnation && known.second == entry.state) {
+        return;
+    }
+    const bool quiet = entry.state == member_state::suspect || entry.node == m_self;
+    known = {entry.incarnation, entry.state};
+    if (!quiet) {
+        logEvent(log_level::info, "member_state", {{"peer", entry.node}, {"name", entry.name}, {"state", memberStateNames.name(entry.state)}});
+    }
+}
+
 /// Follows the member table with the routing table.
 void node_daemon::memberChanged(const member &entry)
 {
     m_calls.onceKeys().sawMember(entry);
+    noteState(entry);
     if (entry.service.empty()) {
         return;
     }
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -26,6 +26,8 @@
     link_handlers linkHandlers();
     call_path_peers callPeers();
     void memberChanged(const member &entry);
+    void noteState(const member &entry);
+    void tellSuspicions(const std::vector<suspicion> &news);
     void addRoutes();
     void answerConfig(const http_exchange_ptr &exchange);
     void answerHistory(const http_exchange_ptr &exchange);
@@ -49,6 +51,7 @@
     http_server m_callers;
     announcement_server m_upstream;
     operator_server m_operators;
+    std::map<node_id, std::pair<std::uint64_t, member_state>> m_statesLogged; ///< with the life of the member
     bool m_shuttingDown = false;
     millis m_shutdownAt{0};
     std::vector<watch_ptr> m_watches;
--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -131,7 +131,7 @@
     ++record.tries;
     http_request message;
     message.method = caller.method;
-    message.target = "/" + record.root;
+    message.target = (caller.poison ? "/poison-" : "/") + record.root;
     message.fields.add("Host", caller.service);
     message.fields.add(field::requestId, record.root);
     message.fields.add(field::deadline, fmt::format("{:.0f}", std::max(left.count, 1.0)));
--- a/bench/replay/fleet.cpp
+++ b/bench/replay/fleet.cpp
@@ -131,6 +131,20 @@
     }
 }
 
+void fleet::killNode(std::size_t index)
+{
+    if (m_processes[index] > 0) {
+        kill(m_processes[index], SIGKILL);
+        waitpid(m_processes[index], nullptr, 0);
+        m_processes[index] = 0;
+    }
+}
+
+std::string fleet::logFile(std::size_t index) const
+{
+    return fmt::format("{}/{}.log", m_directory, m_nodes[index].name);
+}
+
 void fleet::pauseNode(std::size_t index, bool paused)
 {
     if (m_processes[index] > 0) {
--- a/bench/replay/fleet.h
+++ b/bench/replay/fleet.h
@@ -49,6 +49,8 @@
     /// Ends one node gracefully; it is started again after a time by startNode.
     void stopNode(std::size_t index);
     void startNode(std::size_t index);
+    /// Ends a node at once, as a host does that fails.
+    void killNode(std::size_t index);
     /// Stops a node's process from running, or lets it run on.
     void pauseNode(std::size_t index, bool paused);
 
@@ -57,6 +59,8 @@
     const std::string &directory() const { return m_directory; }
     /// @return processor time that the nodes used until now, in seconds, and the largest memory of one, in MB.
     std::pair<double, double> resources() const;
+    /// @return the path of a node's log.
+    std::string logFile(std::size_t index) const;
 
 private:
     result<bool> writeFiles();
--- a/bench/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -85,6 +85,7 @@
     caller.retries = place.child("retries").integer(0, 0, 100);
     caller.retryAfter = place.child("retry_after_ms").span({50}, 0, dayMs);
     caller.tryTimeout = place.child("try_timeout_ms").span({0}, 0, dayMs);
+    caller.poison = place.child("poison").flag(false);
     caller.onlyIn = place.child("only_in").text({});
     place.finish();
     read.callers.push_back(std::move(caller));
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -33,6 +33,7 @@
     int retries = 0; ///< times that it sends a request again
     millis retryAfter{50};
     millis tryTimeout{0}; ///< after which it gives up one try and sends the request again; 0 waits for the deadline
+    bool poison = false; ///< its requests crash every upstream that runs them
     std::string onlyIn; ///< a failure domain, if it speaks to nodes of that one only
 };
 
--- a/bench/standins/upstream_standin.cpp
+++ b/bench/standins/upstream_standin.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Requests for such paths crash the upstream.
+constexpr std::string_view poisonPath = "/poison";
+constexpr millis poisonDowntime{300};
 constexpr millis announcePeriod{1000};
 constexpr millis announceTimeout{900};
 constexpr millis connectTimeout{1000};
@@ -133,6 +136,11 @@
         finish(work, 500);
         return;
     }
+    if (exchange->request().target.starts_with(poisonPath)) {
+        ++m_poisoned;
+        m_loop.defer([this] { crash(poisonDowntime); });
+        return;
+    }
     m_queue.push_back(work);
     startNext();
 }
--- a/bench/standins/upstream_standin.h
+++ b/bench/standins/upstream_standin.h
@@ -73,6 +73,8 @@
     void crash(millis downtime);
 
     std::vector<run_record> &records() { return m_records; }
+    /// @return how often a request that crashes upstreams came.
+    int poisoned() const { return m_poisoned; }
     std::size_t running() const { return m_running; }
 
 private:
@@ -104,6 +106,7 @@
     std::deque<job_ptr> m_queue;
     std::size_t m_running = 0;
     double m_slowness = 1;
+    int m_poisoned = 0;
     bool m_failing = false;
     bool m_draining = false;
     bool m_up = false;
--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -26,6 +26,7 @@
 class MemberPush;
 class OnceAnswer;
 class OnceAsk;
+class SuspicionPush;
 } // namespace wire
 
 /// Names the sender of a message on the listening socket, to answer it.
@@ -47,6 +48,7 @@
     std::function<void(const wire::MemberPush &)> onMemberPush;
     std::function<void(const link_identity &, const wire::OnceAsk &)> onOnceAsk;
     std::function<void(const node_id &, const wire::OnceAnswer &)> onOnceAnswer;
+    std::function<void(const wire::SuspicionPush &)> onSuspicions;
 };
 
 /// Numbers of the links.
@@ -80,6 +82,7 @@
     void pullConfig(const node_id &node, std::uint64_t have);
     void pullMembers(const node_id &node);
     void askOnce(const node_id &node, const wire::OnceAsk &ask);
+    void tellSuspicions(const node_id &node, const wire::SuspicionPush &push);
 
     void reply(const link_identity &to, wire::CallReply &&reply);
     void pushConfig(const link_identity &to, wire::ConfigPush &&push);
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -325,6 +325,13 @@
     sendWhenWelcome(node, std::move(message));
 }
 
+void node_link::tellSuspicions(const node_id &node, const wire::SuspicionPush &push)
+{
+    wire::LinkMessage message;
+    *message.mutable_suspicions() = push;
+    sendWhenWelcome(node, std::move(message));
+}
+
 /// Sends a message that is no call as soon as the node has answered the hello.
 void node_link::sendWhenWelcome(const node_id &node, wire::LinkMessage &&message)
 {
@@ -461,6 +468,9 @@
     case wire::LinkMessage::kMemberPull:
         m_handlers.onMemberPull(from);
         break;
+    case wire::LinkMessage::kSuspicions:
+        m_handlers.onSuspicions(message.suspicions());
+        break;
     case wire::LinkMessage::kOnceAsk:
         m_handlers.onOnceAsk(from, message.once_ask());
         break;
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -63,15 +63,17 @@
 /// Numbers of the protocol.
 struct membership_tunables
 {
-    millis period{1000}; ///< between two probes
-    millis probeTimeout{300}; ///< for a direct answer
+    millis period{500}; ///< between two probes
+    millis probeTimeout{150}; ///< for a direct answer
     int indirectProbes = 3; ///< members asked to probe in turn
-    double suspicionPeriods = 3; ///< periods for which a suspect may refute
+    double suspicionPeriods = 2; ///< periods for which a suspect may refute
     int newsPerMessage = 6;
     double newsFactor = 3; ///< each news item is sent this factor times log2 of the members
     millis deadKept{600'000}; ///< how long the dead are remembered
-    int seedProbesEvery = 10; ///< periods between two probes of a seed or a dead member, so that partitions heal
+    int seedProbesEvery = 20; ///< periods between two probes of a seed or a dead member, so that partitions heal
     millis settleTime{5000}; ///< quiet time after which two tables should be the same
+    millis youth{10'000}; ///< time after the first message for which a node fetches tables more often
+    millis youngSyncInterval{1000}; ///< least time between two fetches then
     millis syncInterval{10'000}; ///< least time between two fetches of a whole table
     int eagerFanout = 3; ///< members told at once of important news
 };
@@ -166,6 +168,7 @@
     std::uint64_t m_digest = 0;
     millis m_learnedAt{0};
     millis m_syncedAt{-1};
+    millis m_firstHeardAt{-1};
     std::uint64_t m_sequence = 0;
     std::uint64_t m_periods = 0;
     millis m_nextPeriod{0};
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -249,8 +249,12 @@
 {
     const bool differs = message.digest != m_digest;
     const bool settled = now - m_learnedAt > m_tuning.settleTime && now - m_syncedAt > m_tuning.syncInterval;
-    const bool newcomer = m_syncedAt.count < 0;
-    if (newcomer || (differs && settled)) {
+    if (m_firstHeardAt.count < 0) {
+        m_firstHeardAt = now;
+    }
+    const bool young = now - m_firstHeardAt < m_tuning.youth;
+    const bool newcomer = m_syncedAt.count < 0 || (young && now - m_syncedAt > m_tuning.youngSyncInterval);
+    if (differs && (newcomer || settled)) {
         m_syncedAt = now;
         m_syncWith.push_back(message.from);
     }
