--- a/apps/turmericspard/once_guard.cpp
+++ b/apps/turmericspard/once_guard.cpp
@@ -69,9 +69,9 @@
 
     // Step 2. The questions
     const inquiry_id id = m_random() | 1;
-    auto made_inquiry = std::make_unique<open_inquiry>(open_inquiry{service, key, once_inquiry(std::move(nodes), unreachable), std::move(done), {}, {}});
-    made_inquiry->timer = m_loop.after(m_tuning.askTimeout, [this, id] { settle(id, true); });
-    m_inquiries.emplace(id, std::move(made_inquiry));
+    auto fresh = std::make_unique<open_inquiry>(open_inquiry{service, key, once_inquiry(std::move(nodes), unreachable), std::move(done), {}, {}});
+    fresh->timer = m_loop.after(m_tuning.askTimeout, [this, id] { settle(id, true); });
+    m_inquiries.emplace(id, std::move(fresh));
     askMore(id);
 }
 
--- a/bench/standins/store_standin.cpp
+++ b/bench/standins/store_standin.cpp
@@ -52,7 +52,7 @@
 {
     const auto &request = exchange->request();
     const auto path = targetPath(request.target);
-    const bool isWrite = request.method == "PUT";
+    const bool isWrite = request.method == "PUT" || request.method == "DELETE";
     auto &limit = isWrite ? m_writeLimit : m_readLimit;
     if (!limit.take(monotonicNow())) {
         ++m_counts.refused;
@@ -60,7 +60,10 @@
         return;
     }
     isWrite ? ++m_counts.writes : ++m_counts.reads;
-    if (path.starts_with(sessionPath) && isWrite) {
+    if (request.method == "DELETE") {
+        m_entries.erase(path.substr(std::min(keyPath.size(), path.size())));
+        respondLater(exchange, {200, {}, "true"});
+    } else if (path.starts_with(sessionPath) && isWrite) {
         session(exchange, path.substr(sessionPath.size()));
     } else if (path.starts_with(keyPath) && isWrite) {
         write(exchange, path.substr(keyPath.size()));
--- a/bench/tests/version_store_test.cpp
+++ b/bench/tests/version_store_test.cpp
@@ -146,4 +146,19 @@
     EXPECT_EQ(fresh.log.document(), first.log.document());
 }
 
+TEST_F(version_store_test, old_patches_go_and_a_new_node_still_arrives)
+{
+    second.versions.setWatching(true);
+    constexpr std::uint64_t count = 420;
+    for (std::uint64_t version = 0; version < count; ++version) {
+        ASSERT_EQ(submit(first, record("s" + std::to_string(version), static_cast<int>(version % 5)), version).what, verdict::accepted);
+    }
+    EXPECT_LT(platform.keyCount(), count);
+    node fresh(loop, address, 3);
+    fresh.versions.refresh([&](bool) { loop.quit(); });
+    loop.run();
+    EXPECT_EQ(fresh.log.version(), count);
+    EXPECT_EQ(fresh.log.document(), first.log.document());
+}
+
 } // namespace
--- a/packages/platform/include/turmericspar/platform/store.h
+++ b/packages/platform/include/turmericspar/platform/store.h
@@ -72,6 +72,9 @@
     /// Writes a key that must not have changed since an index.
     void compareAndSwap(const std::string &key, std::uint64_t index, const std::string &value, write_handler done);
 
+    /// Removes a key; that it is gone already is no error.
+    void remove(const std::string &key, write_handler done);
+
     /// @return calls made since the start.
     std::uint64_t callCount() const { return m_calls; }
 
--- a/packages/platform/include/turmericspar/platform/version_store.h
+++ b/packages/platform/include/turmericspar/platform/version_store.h
@@ -55,6 +55,7 @@
     void readBack(version_record record, int triesLeft, submission_handler done);
     void decide(const version_record &record, const submission_handler &done);
     void considerSnapshot(const store_listing &listing);
+    void removeOldPatches(const store_listing &listing, std::uint64_t snapshotVersion);
     std::string patchKey(std::uint64_t version) const;
 
     event_loop &m_loop;
--- a/packages/platform/src/store.cpp
+++ b/packages/platform/src/store.cpp
@@ -119,6 +119,17 @@
     write(key, index, value, std::move(done));
 }
 
+void store::remove(const std::string &key, write_handler done)
+{
+    http_request request;
+    request.method = "DELETE";
+    request.target = "/v1/kv/" + key;
+    call(std::move(request), m_options.timeout, [done = std::move(done), peer = m_options.address.text()](const http_outcome &outcome) {
+        const bool removed = !outcome.error && outcome.response.status == 200;
+        done({removed ? write_effect::took_effect : write_effect::not_known, {outcome.error, "remove from store", peer, {}}});
+    });
+}
+
 void store::write(const std::string &key, std::uint64_t index, const std::string &value, write_handler done)
 {
     http_request request;
--- a/packages/platform/src/version_store.cpp
+++ b/packages/platform/src/version_store.cpp
@@ -13,6 +13,10 @@
 
 /// Patches between two snapshots.
 constexpr std::uint64_t snapshotEvery = 100;
+/// Patches before a snapshot that stay in the store, for the history.
+constexpr std::uint64_t historyKept = 200;
+/// Old patches removed after one answer of a watch.
+constexpr int removalsAtOnce = 20;
 /// Times that a write whose answer was lost is tried again, each after reading back.
 constexpr int writeTries = 3;
 constexpr millis retryPause{100};
@@ -123,12 +127,27 @@
         }
     }
     if (m_log.version() < last + snapshotEvery) {
+        removeOldPatches(listing, last);
         return;
     }
     const version_snapshot snapshot{m_log.version(), m_log.document()};
     m_store.compareAndSwap(m_prefix + "/snapshot", m_snapshotIndex, snapshot.toJson().dump(), [](const write_result &) {});
 }
 
+/// Removes some of the patches that a snapshot covers and that are older than the history to be shown.
+void version_store::removeOldPatches(const store_listing &listing, std::uint64_t snapshotVersion)
+{
+    int removed = 0;
+    for (const auto &entry : listing.entries) {
+        const auto record = version_record::fromJson(json::parse(entry.value, nullptr, false));
+        const bool isPatch = entry.key.starts_with(m_prefix + "/patch/") && record;
+        if (isPatch && record->version + historyKept <= snapshotVersion && removed < removalsAtOnce) {
+            ++removed;
+            m_store.remove(entry.key, [](const write_result &) {});
+        }
+    }
+}
+
 void version_store::refresh(std::function<void(bool)> done)
 {
     m_store.list(m_prefix + "/", [this, done = std::move(done)](const result<store_listing> &listing) {
