Seeds in the store under leases, signs of life only when answers are due, smaller files

Change: the watchers of a failure domain post their addresses under leases that are renewed and replaced; a link asks for a sign of life only while answers are overdue; four news items to a message, sent 2 log2(n) times; the path of a call is split into its two halves, the ZeroMQ socket has a file of its own; SIGHUP takes up the level of the log.

--- /dev/null
+++ b/apps/turmericspard/call_entry.cpp
@@ -0,0 +1,338 @@
+/// @file call_entry.cpp
+/// The entry's half of the path of a call: from the caller to a serving node, and back.
+#include "call_path.h"
+
+#include "node.pb.h"
+#include "turmericspar/base/problem.h"
+#include "turmericspar/node/wire.h"
+
+#include <cmath>
+
+namespace turmericspar {
+
+namespace {
+
+constexpr int serverErrorFirst = 500;
+/// Between two looks at a key whose first attempt still runs.
+constexpr millis recheckPause{100};
+
+} // namespace
+
+bool isServerError(std::uint32_t status)
+{
+    return status >= serverErrorFirst;
+}
+
+void call_path::accept(const http_exchange_ptr &exchange)
+{
+    std::optional<call_mistake> mistake;
+    const auto description = describeCall(exchange->request(), m_peers.declared(), mistake);
+    const bool known = m_routes.knows(description.service) || m_peers.declared().services.contains(description.service);
+    const auto label = known ? description.service : "unknown";
+    if (mistake) {
+        refuseAtOnce(exchange, label, 0, mistake->reason, mistake->detail);
+    } else if (m_shuttingDown && description.parent.empty()) {
+        refuseAtOnce(exchange, label, description.rank, refusal_reason::shutting_down, "this node is shutting down");
+    } else if (m_suspects.level(digestOf(exchange->request()), wallNow()) == suspicion_level::convicted) {
+        refuseAtOnce(exchange, label, description.rank, refusal_reason::suspect, "upstreams crashed when they ran this request");
+    } else if (!known) {
+        refuseAtOnce(exchange, label, description.rank, refusal_reason::unknown_service, "no upstream ever announced this service");
+    } else {
+        enter(exchange, description);
+    }
+}
+
+void call_path::refuseAtOnce(const http_exchange_ptr &exchange, const std::string &service, int rank, refusal_reason reason, const std::string &detail)
+{
+    m_metrics.answered(service, rank, call_outcome::not_run, reason, {0});
+    exchange->respond(refusalResponse(reason, call_outcome::not_run, detail));
+}
+
+void call_path::enter(const http_exchange_ptr &exchange, const call_description &description)
+{
+    const millis now = monotonicNow();
+    const call_id id = m_nextCall++;
+    entering_call call;
+    call.exchange = exchange;
+    call.service = description.service;
+    call.since = now;
+
+    // Step 1. The context: of the call for which this one is made, or a new one
+    if (description.parent.empty()) {
+        auto &context = call.context;
+        context.root = description.requestId.empty() ? toHex(randomBytes(16)) : description.requestId;
+        context.klass = description.klass;
+        context.place.rank = description.rank;
+        context.place.draw = static_cast<std::uint32_t>(stableHash(context.root));
+        context.deadline = now + description.timeout.value_or(description.classDeadline);
+        const auto &declared = m_peers.declared();
+        const auto service = declared.services.find(description.service);
+        const bool ownRetries = service != declared.services.end() && service->second.retries;
+        context.retries = ownRetries ? *service->second.retries : declared.retriesPerRequest;
+    } else {
+        call.parent = parentOf(description.parent);
+        auto context = m_ledger.addChild(call.parent, id, now);
+        if (!context) {
+            refuseAtOnce(exchange, description.service, description.rank, refusal_reason::cancelled, "the call for which this one is made has ended");
+            return;
+        }
+        call.context = *context;
+        if (description.timeout) {
+            call.context.deadline = std::min(call.context.deadline, now + *description.timeout);
+        }
+    }
+    call.context.intent = description.intent;
+    call.klass = call.context.klass;
+    call.rank = call.context.place.rank;
+
+    // Step 2. A caller that goes takes its call with it
+    exchange->onGone([this, id] {
+        std::vector<entry_action> actions;
+        m_entry.abandon(id, monotonicNow(), actions);
+        const auto found = m_entering.find(id);
+        if (found != m_entering.end()) {
+            m_ledger.childEnded(found->second.parent, id, found->second.context.retries, false, monotonicNow());
+            m_metrics.answered(
+                found->second.service, found->second.rank, call_outcome::unknown, refusal_reason::cancelled, monotonicNow() - found->second.since);
+            m_entering.erase(found);
+        }
+        act(actions);
+    });
+
+    // Step 3. What may be a resend of a request that may run at most once is looked into first
+    const bool keyed = call.context.intent == call_intent::once && !description.idempotencyKey.empty();
+    if (keyed) {
+        call.context.onceKey = description.idempotencyKey;
+    }
+    m_entering.emplace(id, std::move(call));
+    if (keyed && !description.firstAttempt && m_settings.mode == policy_mode::full) {
+        judge(id);
+    } else {
+        submit(id);
+    }
+}
+
+/// Looks into the key of a call.
+void call_path::judge(call_id id)
+{
+    const auto found = m_entering.find(id);
+    if (found != m_entering.end()) {
+        const auto &call = found->second;
+        m_once.judge(call.service, call.context.onceKey, [this, id](const once_ruling &ruling) { ruled(id, ruling); });
+    }
+}
+
+void call_path::submit(call_id id)
+{
+    const auto found = m_entering.find(id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    const auto service = found->second.service;
+    const auto context = found->second.context;
+    std::vector<entry_action> actions;
+    m_entry.submit(id, service, context, monotonicNow(), actions);
+    act(actions);
+}
+
+/// Acts on what an inquiry found about the key of a call.
+void call_path::ruled(call_id id, const once_ruling &ruling)
+{
+    const auto found = m_entering.find(id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    if (ruling.verdict == inquiry_verdict::run) {
+        found->second.context.permit = ruling.permit;
+        submit(id);
+        return;
+    }
+    const bool mayWait = found->second.context.deadline - monotonicNow() > recheckPause * 2;
+    if (ruling.verdict == inquiry_verdict::running && mayWait) {
+        found->second.recheck = m_loop.after(recheckPause, [this, id] { judge(id); });
+        return;
+    }
+    entry_action action;
+    action.what = entry_action::verb::finish;
+    action.id = id;
+    action.outcome = call_outcome::unknown;
+    action.reason = ruling.verdict == inquiry_verdict::in_doubt ? refusal_reason::in_doubt : refusal_reason::duplicate;
+    auto answer = std::make_unique<wire::CallReply>();
+    if (ruling.verdict == inquiry_verdict::finished && answer->ParseFromString(ruling.answer) && answer->status() != 0) {
+        action.outcome = call_outcome::ran;
+        action.reason = refusal_reason::none;
+        action.useAnswer = true;
+        found->second.answer = std::move(answer);
+    }
+    finish(action);
+}
+
+void call_path::act(const std::vector<entry_action> &actions)
+{
+    for (const auto &action : actions) {
+        switch (action.what) {
+        case entry_action::verb::forward:
+            forward(action);
+            break;
+        case entry_action::verb::finish:
+            finish(action);
+            break;
+        case entry_action::verb::cancel: {
+            wire::CallCancel cancel;
+            cancel.set_call(action.id);
+            cancel.set_attempt(static_cast<std::uint32_t>(action.attempt));
+            if (action.node == m_self) {
+                cancelled({}, cancel);
+            } else {
+                m_peers.sendCancel(action.node, cancel);
+            }
+            break;
+        }
+        }
+    }
+}
+
+void call_path::forward(const entry_action &action)
+{
+    const auto found = m_entering.find(action.id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    const auto &call = found->second;
+    const auto &request = call.exchange->request();
+    call_context context = call.context;
+    context.retries = action.retries;
+    const auto attempt = static_cast<std::uint32_t>(action.attempt);
+    if (action.node == m_self) {
+        serve({true, false, {}, action.id, attempt}, context, request);
+        return;
+    }
+    wire::CallRequest out;
+    out.set_call(action.id);
+    out.set_attempt(attempt);
+    out.set_service(call.service);
+    out.set_root(context.root);
+    out.set_klass(context.klass);
+    out.set_rank(static_cast<std::uint32_t>(context.place.rank));
+    out.set_excess(context.place.excess);
+    out.set_draw(context.place.draw);
+    out.set_depth(static_cast<std::uint32_t>(context.depth));
+    out.set_retries(static_cast<std::uint32_t>(context.retries));
+    out.set_once(context.intent == call_intent::once);
+    out.set_once_key(context.onceKey);
+    out.set_permit(context.permit);
+    out.set_method(request.method);
+    out.set_target(request.target);
+    out.set_body(request.body);
+    http_fields fields = request.fields;
+    fields.removeHopByHop();
+    fieldsToWire(fields, out);
+    m_peers.sendRequest(action.node, std::move(out), context.deadline);
+}
+
+void call_path::replied(const node_id &from, wire::CallReply &reply)
+{
+    (void)from;
+    const auto found = m_entering.find(reply.call());
+    if (found == m_entering.end()) {
+        return;
+    }
+    const bool sound = reply.outcome() < outcomeNames.names.size() && reply.reason() < refusalNames.names.size();
+    if (!sound) {
+        return;
+    }
+    attempt_result result;
+    result.outcome = static_cast<call_outcome>(reply.outcome());
+    result.reason = static_cast<refusal_reason>(reply.reason());
+    result.serverError = result.outcome == call_outcome::ran && isServerError(reply.status());
+    result.finalFailure = reply.final_failure();
+    result.retriesUsed = static_cast<int>(reply.retries_used());
+    result.level = reply.level();
+    result.limit = static_cast<int>(reply.limit());
+    result.pending = static_cast<int>(reply.pending());
+
+    // What is told of a service counts for the call that called it, too
+    auto &call = found->second;
+    const millis now = monotonicNow();
+    if (const auto *parent = m_ledger.find(call.parent)) {
+        m_levelsBelow.try_emplace(parent->klass, m_settings.tuning).first->second.report(call.service, result.level, now);
+    }
+    const auto attempt = static_cast<int>(reply.attempt());
+    call.answer = std::make_unique<wire::CallReply>(std::move(reply));
+    std::vector<entry_action> actions;
+    m_entry.replied(found->first, attempt, result, now, actions);
+    act(actions);
+}
+
+void call_path::unsent(std::uint64_t call, std::uint32_t attempt)
+{
+    attempt_result result;
+    result.outcome = call_outcome::not_run;
+    result.reason = refusal_reason::unreachable;
+    std::vector<entry_action> actions;
+    m_entry.replied(call, static_cast<int>(attempt), result, monotonicNow(), actions);
+    act(actions);
+}
+
+void call_path::lost(const node_id &node)
+{
+    std::vector<entry_action> actions;
+    m_entry.lost(node, monotonicNow(), actions);
+    act(actions);
+}
+
+/// Answers a caller, and settles the account with the call for which this one was made.
+void call_path::finish(const entry_action &action)
+{
+    const auto found = m_entering.find(action.id);
+    if (found == m_entering.end()) {
+        return;
+    }
+    entering_call call = std::move(found->second);
+    m_entering.erase(found);
+    const millis now = monotonicNow();
+    m_ledger.childEnded(call.parent, action.id, action.retriesUsed, action.finalFailure, now);
+
+    http_response response;
+    const bool hasAnswer = action.useAnswer && call.answer && call.answer->status() != 0;
+    if (hasAnswer) {
+        response.status = static_cast<int>(call.answer->status());
+        response.fields = fieldsFromWire(*call.answer);
+        response.body = std::move(*call.answer->mutable_body());
+        stamp(response, action.outcome);
+    } else {
+        response = refusalResponse(action.reason, action.outcome, {});
+    }
+    if (action.finalFailure) {
+        response.fields.set(field::finalFailure, "1");
+    }
+    m_metrics.answered(call.service, call.rank, action.outcome, action.reason, now - call.since);
+    if (hasAnswer) {
+        m_metrics.added(call.service, call.rank, now - call.since - millis{call.answer->upstream_ms()});
+    }
+    call.exchange->respond(response);
+}
+
+http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail)
+{
+    const std::string word(refusalNames.name(reason));
+    const int status = statusFor(reason, outcome);
+    auto response = problemResponse(status, word, detail.empty() ? "the call was given up: " + word : detail);
+    response.fields.add(field::reason, word);
+    response.fields.add(field::refusedBy, m_settings.name);
+    if (status == 503) {
+        const double spread = std::uniform_real_distribution<double>(0, m_settings.tuning.retryAfterSpread.count)(m_random);
+        const double wait = (m_settings.tuning.retryAfterLeast.count + spread) / oneSecond.count;
+        response.fields.add(field::retryAfter, std::to_string(static_cast<int>(std::ceil(wait))));
+    }
+    stamp(response, outcome);
+    return response;
+}
+
+void call_path::stamp(http_response &response, call_outcome outcome)
+{
+    response.fields.set(field::outcome, std::string(outcomeNames.name(outcome)));
+    response.fields.set(field::configVersion, std::to_string(m_peers.version()));
+}
+
+} // namespace turmericspar
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -49,7 +49,14 @@
     bool draining = false;
 };
 
-/// Carries calls. It owns the decisions and the connections to the upstream, and runs on the loop's thread.
+/// @return a hash of what a request asks for, the same for every copy of it.
+request_digest digestOf(const http_request &request);
+
+/// @return whether a status is one by which an upstream says that it failed.
+bool isServerError(std::uint32_t status);
+
+/// Carries calls. Its two halves are in call_entry.cpp and call_serving.cpp. It owns the decisions and the connections to the upstream, and runs on the loop's
+/// thread.
 class call_path
 {
 public:
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -15,6 +15,8 @@
 
 constexpr millis tickPeriod{50};
 constexpr millis watcherPeriod{1000};
+/// Between two looks for seeds in the store, while nobody is known.
+constexpr millis seedPeriod{3000};
 
 /// Nodes of a failure domain that watch the store.
 constexpr std::size_t watchersPerDomain = 2;
@@ -32,6 +34,15 @@
     return entry;
 }
 
+std::vector<node_id> settingsSeeds(const node_settings &settings)
+{
+    std::vector<node_id> seeds;
+    for (const auto &address : settings.seeds) {
+        seeds.push_back(address.text());
+    }
+    return seeds;
+}
+
 bool isLive(const member &entry)
 {
     return entry.state == member_state::alive || entry.state == member_state::suspect;
@@ -47,17 +58,14 @@
     , m_members({}, selfEntry(settings, self), seed)
     , m_gossip(loop, keys, [this](const gossip_message &message) { heard(message); })
 {
-    std::vector<node_id> seeds;
-    for (const auto &address : settings.seeds) {
-        seeds.push_back(address.text());
-    }
-    m_members.setSeeds(std::move(seeds));
+    m_members.setSeeds(settingsSeeds(settings));
     if (settings.platform) {
         store_options options;
         options.address = *settings.platform;
         m_store = std::make_unique<store>(loop, options);
         m_versions = std::make_unique<version_store>(
             loop, *m_store, settings.platformPrefix, m_log, [this] { advanced(); }, seed);
+        m_board = std::make_unique<seed_board>(loop, *m_store, settings.platformPrefix, settings.domain, m_members.self().node);
     }
     readFallback();
 }
@@ -80,6 +88,8 @@
         }
     });
     m_tick = m_loop.every(tickPeriod, [this] { tick(); });
+    readSeeds();
+    m_seedTimer = m_loop.every(seedPeriod, [this] { readSeeds(); });
     m_watcherTimer = m_loop.every(watcherPeriod, [this] { chooseWatchers(); });
     return true;
 }
@@ -270,7 +280,21 @@
     if (chosen != m_versions->watching()) {
         logEvent(log_level::info, "store_watch", {{"watching", chosen ? "true" : "false"}});
         m_versions->setWatching(chosen);
+        m_board->setPosting(chosen);
+    }
+}
+
+/// Reads the seeds in the store: at the start, and as long as nobody else is known.
+void control_path::readSeeds()
+{
+    if (!m_board || m_members.liveCount() > 1) {
+        return;
     }
+    m_board->read([this](const std::vector<std::string> &posted) {
+        auto seeds = settingsSeeds(m_settings);
+        seeds.insert(seeds.end(), posted.begin(), posted.end());
+        m_members.setSeeds(std::move(seeds));
+    });
 }
 
 void control_path::submit(version_record record, std::uint64_t base, version_store::submission_handler done)
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -6,6 +6,7 @@
 #include "turmericspar/base/event_loop.h"
 #include "turmericspar/node/gossip.h"
 #include "turmericspar/node/node_link.h"
+#include "turmericspar/platform/seed_board.h"
 #include "turmericspar/platform/version_store.h"
 #include "turmericspar/policy/membership.h"
 #include "turmericspar/policy/version_log.h"
@@ -82,6 +83,7 @@
     void heard(const gossip_message &message);
     void followChanges();
     void chooseWatchers();
+    void readSeeds();
     void advanced();
     void considerPull(const node_id &from, std::uint64_t version);
 
@@ -94,6 +96,7 @@
     gossip m_gossip;
     std::unique_ptr<store> m_store;
     std::unique_ptr<version_store> m_versions;
+    std::unique_ptr<seed_board> m_board;
     node_link *m_links = nullptr;
     millis m_pulledAt{0};
     std::uint64_t m_pulledVersion = 0;
@@ -102,6 +105,7 @@
     std::string m_service;
     watch_ptr m_tick;
     watch_ptr m_watcherTimer;
+    watch_ptr m_seedTimer;
     watch_ptr m_startTimer;
 };
 
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -216,6 +216,7 @@
     for (const int signal : {SIGTERM, SIGINT}) {
         m_watches.push_back(m_loop.onSignal(signal, [this] { shutDown(); }));
     }
+    m_watches.push_back(m_loop.onSignal(SIGHUP, [this] { reload(); }));
     logEvent(log_level::info,
              "node_started",
              {{"name", m_settings.name},
@@ -277,6 +278,20 @@
     return m_control.settled() && m_calls.onceKeys().remembersFreshKeys() && !m_shuttingDown;
 }
 
+/// Reads the settings again and takes up what is safe to change while running: the level of the log.
+void node_daemon::reload()
+{
+    std::vector<settings_mistake> mistakes;
+    const auto read = readNodeSettings(m_settings.path, mistakes);
+    for (const auto &mistake : mistakes) {
+        logEvent(log_level::error, "settings_refused", {{"file", m_settings.path}, {"mistake", mistake.text()}});
+    }
+    if (mistakes.empty()) {
+        setLogLevel(read.logLevel);
+        logEvent(log_level::info, "settings_reloaded", {{"log_level", logLevelNames.name(read.logLevel)}});
+    }
+}
+
 /// Begins a graceful shutdown: no new work, the others are told, and what is in flight is finished.
 void node_daemon::shutDown()
 {
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -36,6 +36,7 @@
     void answerStatus(const http_exchange_ptr &exchange);
     void answerDrain(const http_exchange_ptr &exchange);
     void answerMetrics(const http_exchange_ptr &exchange);
+    void reload();
     void shutDown();
     void finishWhenIdle();
     bool ready() const;
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -112,6 +112,7 @@
 node_settings readNodeSettings(const std::string &path, std::vector<settings_mistake> &mistakes)
 {
     node_settings read;
+    read.path = path;
     auto root = settings_reader::fromFile(path, mistakes);
     read.name = root.child("name").requiredText();
     read.domain = root.child("failure_domain").requiredText();
--- a/apps/turmericspard/node_settings.h
+++ b/apps/turmericspard/node_settings.h
@@ -21,6 +21,7 @@
 /// What a node reads at its start.
 struct node_settings
 {
+    std::string path; ///< of the file itself
     std::string name;
     std::string domain; ///< failure domain
     endpoint callers; ///< where callers' requests come in
--- a/packages/base/include/turmericspar/base/log.h
+++ b/packages/base/include/turmericspar/base/log.h
@@ -33,6 +33,9 @@
 /// @param file a path, or empty for the standard error stream
 void startLog(const std::string &node, log_level least, const std::string &file);
 
+/// Changes how grave an event must be from now on.
+void setLogLevel(log_level least);
+
 /// Writes one line.
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -83,6 +83,13 @@
     logger()->flush_on(spdlog::level::info);
 }
 
+void setLogLevel(log_level least)
+{
+    if (logger()) {
+        logger()->set_level(toSpdlog(least));
+    }
+}
+
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (!logger() || !logger()->should_log(toSpdlog(level))) {
--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -32,6 +32,8 @@
 /// Names the sender of a message on the listening socket, to answer it.
 using link_identity = std::string;
 
+class zmq_socket;
+
 /// What a link tells its owner.
 struct link_handlers
 {
@@ -55,8 +57,8 @@
 struct link_options
 {
     endpoint listen;
-    millis heartbeat{500}; ///< between two heartbeats on a link in use
-    millis silence{1500}; ///< without any message for so long, a link in use is replaced
+    millis heartbeat{500}; ///< without any message while answers are due, a sign of life is asked for
+    millis silence{1500}; ///< without any message for so long while answers are due, a link is replaced
     millis welcomeTimeout{1000}; ///< for the first answer of a node
     millis idleTimeout{10'000}; ///< a link that is not used for so long is closed
     std::size_t queuedMax = 10'000; ///< calls that wait for the first answer of a node
@@ -94,7 +96,6 @@
     std::size_t peerCount() const { return m_peers.size(); }
 
 private:
-    class socket;
     struct peer;
 
     struct curve_pair
@@ -105,6 +106,7 @@
 
     peer &peerFor(const node_id &node);
     void connect(peer &target);
+    void greet(peer &target);
     void send(peer &target, const wire::LinkMessage &message);
     void sendWhenWelcome(const node_id &node, wire::LinkMessage &&message);
     void flush(peer &target);
@@ -124,8 +126,8 @@
     link_handlers m_handlers;
     std::vector<curve_pair> m_curve;
     std::unique_ptr<void, void (*)(void *)> m_context;
-    std::unique_ptr<socket> m_zap;
-    std::unique_ptr<socket> m_router;
+    std::unique_ptr<zmq_socket> m_zap;
+    std::unique_ptr<zmq_socket> m_router;
     std::unordered_map<node_id, std::unique_ptr<peer>> m_peers;
     std::map<node_id, std::size_t> m_keyInUse; ///< which key the last try with a node used
     watch_ptr m_heartbeatTimer;
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -2,6 +2,7 @@
 
 #include "node.pb.h"
 #include "turmericspar/base/log.h"
+#include "zmq_socket.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,11 +18,6 @@
 constexpr std::size_t zapFrames = 7;
 constexpr std::size_t zapCredentials = 6;
 
-void setInt(void *socket, int option, int value)
-{
-    zmq_setsockopt(socket, option, &value, sizeof(value));
-}
-
 std::string toZ85(const unsigned char *bytes, std::size_t size)
 {
     std::string text(curveKeyText, '\0');
@@ -37,101 +33,15 @@
 
 } // namespace
 
-/// A ZeroMQ socket whose descriptor is watched by the loop.
-class node_link::socket
-{
-public:
-    socket(event_loop &loop, void *context, int type, std::function<void()> onReadable)
-        : m_loop(loop), m_socket(zmq_socket(context, type)), m_onReadable(std::move(onReadable))
-    {
-        setInt(m_socket, ZMQ_LINGER, 0);
-        setInt(m_socket, ZMQ_IPV6, 1);
-    }
-
-    ~socket()
-    {
-        *m_alive = false;
-        m_watch.reset();
-        zmq_close(m_socket);
-    }
-    socket(const socket &) = delete;
-    socket &operator=(const socket &) = delete;
-
-    void *raw() const { return m_socket; }
-
-    /// Begins to watch. The descriptor of ZeroMQ signals only changes, so whatever is there is read at once.
-    void startWatching()
-    {
-        int descriptor = -1;
-        std::size_t size = sizeof(descriptor);
-        zmq_getsockopt(m_socket, ZMQ_FD, &descriptor, &size);
-        m_watch = m_loop.whenReadable(descriptor, [this] { m_onReadable(); });
-        readSoon();
-    }
-
-    /// Sends frames; whatever arrived meanwhile is read in the next turn.
-    bool sendFrames(const std::vector<std::string> &frames)
-    {
-        for (std::size_t i = 0; i < frames.size(); ++i) {
-            const int more = i + 1 < frames.size() ? ZMQ_SNDMORE : 0;
-            if (zmq_send(m_socket, frames[i].data(), frames[i].size(), ZMQ_DONTWAIT | more) < 0) {
-                return false;
-            }
-        }
-        readSoon();
-        return true;
-    }
-
-    /// Receives the frames of one message.
-    /// @return no frames if there is no message
-    std::vector<std::string> receiveFrames()
-    {
-        std::vector<std::string> frames;
-        int more = 1;
-        while (more != 0) {
-            zmq_msg_t message;
-            zmq_msg_init(&message);
-            if (zmq_msg_recv(&message, m_socket, ZMQ_DONTWAIT) < 0) {
-                zmq_msg_close(&message);
-                return {};
-            }
-            frames.emplace_back(static_cast<const char *>(zmq_msg_data(&message)), zmq_msg_size(&message));
-            more = zmq_msg_more(&message);
-            zmq_msg_close(&message);
-        }
-        return frames;
-    }
-
-private:
-    void readSoon()
-    {
-        if (std::exchange(m_readPending, true)) {
-            return;
-        }
-        m_loop.defer([this, alive = m_alive] {
-            if (*alive) {
-                m_readPending = false;
-                m_onReadable();
-            }
-        });
-    }
-
-    event_loop &m_loop;
-    void *m_socket;
-    std::function<void()> m_onReadable;
-    bool m_readPending = false;
-    watch_ptr m_watch;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-};
-
 /// The link to one other node.
 struct node_link::peer
 {
     node_id node;
-    std::unique_ptr<socket> channel;
+    std::unique_ptr<zmq_socket> channel;
     bool welcomed = false;
     std::uint64_t incarnation = 0;
     millis clockOffset{0}; ///< added to the own clock it is never ahead of the other's
+    int outstanding = 0; ///< calls whose answers are due
     millis openedAt;
     millis heardAt;
     millis usedAt;
@@ -175,19 +85,19 @@
 result<bool> node_link::listen()
 {
     // Step 1. The authenticator, which must exist before any socket that needs it
-    m_zap = std::make_unique<socket>(m_loop, m_context.get(), ZMQ_REP, [this] { readZap(); });
+    m_zap = std::make_unique<zmq_socket>(m_loop, m_context.get(), ZMQ_REP, [this] { readZap(); });
     if (zmq_bind(m_zap->raw(), zapEndpoint) != 0) {
         return failure{errc::invalid_settings, "bind authenticator", zapEndpoint, zmq_strerror(zmq_errno())};
     }
     m_zap->startWatching();
 
     // Step 2. The listening socket
-    m_router = std::make_unique<socket>(m_loop, m_context.get(), ZMQ_ROUTER, [this] { readRouter(); });
-    setInt(m_router->raw(), ZMQ_CURVE_SERVER, 1);
+    m_router = std::make_unique<zmq_socket>(m_loop, m_context.get(), ZMQ_ROUTER, [this] { readRouter(); });
+    m_router->setOption(ZMQ_CURVE_SERVER, 1);
     zmq_setsockopt(m_router->raw(), ZMQ_CURVE_SECRETKEY, m_curve.front().secretKey.data(), m_curve.front().secretKey.size());
     zmq_setsockopt(m_router->raw(), ZMQ_MAXMSGSIZE, &m_options.messageBytesMax, sizeof(m_options.messageBytesMax));
-    setInt(m_router->raw(), ZMQ_SNDHWM, m_options.messagesMax);
-    setInt(m_router->raw(), ZMQ_RCVHWM, m_options.messagesMax);
+    m_router->setOption(ZMQ_SNDHWM, m_options.messagesMax);
+    m_router->setOption(ZMQ_RCVHWM, m_options.messagesMax);
     const auto address = zmqAddress(m_options.listen);
     if (zmq_bind(m_router->raw(), address.c_str()) != 0) {
         return failure{errc::invalid_settings, "listen for nodes", address, zmq_strerror(zmq_errno())};
@@ -232,17 +142,23 @@
 {
     target.openedAt = monotonicNow();
     target.heardAt = target.openedAt;
-    target.channel = std::make_unique<socket>(m_loop, m_context.get(), ZMQ_DEALER, [this, &target] { readPeer(target); });
+    target.channel = std::make_unique<zmq_socket>(m_loop, m_context.get(), ZMQ_DEALER, [this, &target] { readPeer(target); });
     void *raw = target.channel->raw();
     const auto &pair = m_curve[m_keyInUse[target.node] % m_curve.size()];
     zmq_setsockopt(raw, ZMQ_CURVE_SERVERKEY, pair.publicKey.data(), pair.publicKey.size());
     zmq_setsockopt(raw, ZMQ_CURVE_PUBLICKEY, pair.publicKey.data(), pair.publicKey.size());
     zmq_setsockopt(raw, ZMQ_CURVE_SECRETKEY, pair.secretKey.data(), pair.secretKey.size());
     zmq_setsockopt(raw, ZMQ_MAXMSGSIZE, &m_options.messageBytesMax, sizeof(m_options.messageBytesMax));
-    setInt(raw, ZMQ_SNDHWM, m_options.messagesMax);
-    setInt(raw, ZMQ_RCVHWM, m_options.messagesMax);
+    target.channel->setOption(ZMQ_SNDHWM, m_options.messagesMax);
+    target.channel->setOption(ZMQ_RCVHWM, m_options.messagesMax);
     zmq_connect(raw, ("tcp://" + target.node).c_str());
     target.channel->startWatching();
+    greet(target);
+}
+
+/// Asks for the node's welcome.
+void node_link::greet(peer &target)
+{
     wire::LinkMessage hello;
     hello.mutable_hello()->set_node(m_self);
     send(target, hello);
@@ -282,6 +198,9 @@
         *message.mutable_request() = std::move(queued.request);
         if (!target.channel->sendFrames({message.SerializeAsString()})) {
             m_handlers.onUnsent(call, attempt);
+        } else if (target.outstanding++ == 0) {
+            // Silence counts from when an answer is first due.
+            target.heardAt = now;
         }
     }
     for (const auto &message : std::exchange(target.queuedOthers, {})) {
@@ -298,6 +217,7 @@
     auto &target = *found->second;
     std::erase_if(target.queued, [&](const auto &queued) { return queued.request.call() == cancel.call(); });
     if (target.welcomed) {
+        target.outstanding = std::max(0, target.outstanding - 1);
         wire::LinkMessage message;
         *message.mutable_cancel() = cancel;
         send(target, message);
@@ -342,22 +262,23 @@
     }
 }
 
-/// Keeps links in use alive, replaces silent ones, closes those that nobody uses.
+/// Asks for a sign of life where answers are due and nothing came lately, replaces silent links, closes unused ones.
 void node_link::heartbeat()
 {
     const millis now = monotonicNow();
     std::vector<std::pair<node_id, bool>> ended;
     for (auto &[node, target] : m_peers) {
         const bool openTooLong = !target->welcomed && now - target->openedAt > m_options.welcomeTimeout;
-        const bool silent = target->welcomed && now - target->heardAt > m_options.silence;
+        const bool due = target->welcomed && target->outstanding > 0;
+        const bool silent = due && now - target->heardAt > m_options.silence;
         const bool idle = now - target->usedAt > m_options.idleTimeout;
         if (openTooLong || silent || idle) {
             ended.emplace_back(node, openTooLong);
             continue;
         }
-        wire::LinkMessage hello;
-        hello.mutable_hello()->set_node(m_self);
-        send(*target, hello);
+        if (due && now - target->heardAt > m_options.heartbeat) {
+            greet(*target);
+        }
     }
     for (const auto &[node, failedToOpen] : ended) {
         drop(node, failedToOpen);
@@ -418,6 +339,11 @@
         break;
     }
     case wire::LinkMessage::kReply:
+        source.outstanding = std::max(0, source.outstanding - 1);
+        if (message.reply().reason() == static_cast<std::uint32_t>(refusal_reason::stale)) {
+            // Perhaps the node was restarted: its welcome will tell.
+            greet(source);
+        }
         m_handlers.onReply(source.node, *message.mutable_reply());
         break;
     case wire::LinkMessage::kConfigPush:
--- /dev/null
+++ b/packages/platform/include/turmericspar/platform/seed_board.h
@@ -0,0 +1,42 @@
+/// @file seed_board.h
+/// Seeds in the platform's store: a few nodes of each failure domain post their addresses under leases, so that a node that
+/// starts finds somebody to ask.
+#pragma once
+
+#include "turmericspar/platform/store.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace turmericspar {
+
+/// Posts this node's address while it is chosen to, and reads what others posted.
+class seed_board
+{
+public:
+    using seeds_handler = std::function<void(std::vector<std::string>)>;
+
+    /// @param prefix keys of the deployment begin with it
+    seed_board(event_loop &loop, store &access, const std::string &prefix, const std::string &domain, std::string node);
+
+    /// Starts or ends posting. A posted address goes by itself when its lease is not renewed.
+    void setPosting(bool posting);
+    /// Reads all posted addresses; tells none if the store can't be reached.
+    void read(seeds_handler done);
+
+private:
+    void keepPosted();
+    void post();
+
+    store &m_store;
+    std::string m_prefix;
+    std::string m_key;
+    std::string m_node;
+    std::string m_lease; ///< empty while there is none
+    bool m_posting = false;
+    bool m_busy = false;
+    watch_ptr m_renewal;
+};
+
+} // namespace turmericspar
--- a/packages/platform/include/turmericspar/platform/store.h
+++ b/packages/platform/include/turmericspar/platform/store.h
@@ -75,12 +75,19 @@
     /// Removes a key; that it is gone already is no error.
     void remove(const std::string &key, write_handler done);
 
+    /// Opens a lease: keys held under it go when it is not renewed within its span.
+    void openLease(millis span, std::function<void(result<std::string>)> done);
+    /// Renews a lease; `did_not` means that it has lapsed.
+    void renewLease(const std::string &lease, write_handler done);
+    /// Writes a key under a lease, unless another lease holds it.
+    void holdKey(const std::string &key, const std::string &value, const std::string &lease, write_handler done);
+
     /// @return calls made since the start.
     std::uint64_t callCount() const { return m_calls; }
 
 private:
     void call(http_request request, millis timeout, http_client::answer_handler done);
-    void write(const std::string &key, std::uint64_t index, const std::string &value, write_handler done);
+    void write(const std::string &target, const std::string &value, write_handler done);
     void readListing(const std::string &target, millis timeout, listing_handler done);
 
     event_loop &m_loop;
--- a/packages/platform/src/store.cpp
+++ b/packages/platform/src/store.cpp
@@ -111,12 +111,12 @@
 
 void store::createIfAbsent(const std::string &key, const std::string &value, write_handler done)
 {
-    write(key, 0, value, std::move(done));
+    compareAndSwap(key, 0, value, std::move(done));
 }
 
 void store::compareAndSwap(const std::string &key, std::uint64_t index, const std::string &value, write_handler done)
 {
-    write(key, index, value, std::move(done));
+    write("/v1/kv/" + key + "?cas=" + std::to_string(index), value, std::move(done));
 }
 
 void store::remove(const std::string &key, write_handler done)
@@ -130,11 +130,48 @@
     });
 }
 
-void store::write(const std::string &key, std::uint64_t index, const std::string &value, write_handler done)
+void store::openLease(millis span, std::function<void(result<std::string>)> done)
 {
     http_request request;
     request.method = "PUT";
-    request.target = "/v1/kv/" + key + "?cas=" + std::to_string(index);
+    request.target = "/v1/session/create";
+    request.body = json{{"TTL", std::to_string(static_cast<int>(span / oneSecond)) + "s"}, {"Behavior", "delete"}}.dump();
+    call(std::move(request), m_options.timeout, [done = std::move(done), peer = m_options.address.text()](const http_outcome &outcome) {
+        const auto body = outcome.error ? json() : json::parse(outcome.response.body, nullptr, false);
+        if (body.is_object() && body.contains("ID") && body["ID"].is_string()) {
+            done(body["ID"].get<std::string>());
+        } else {
+            done(failure{outcome.error ? outcome.error : make_error_code(errc::unavailable), "open lease", peer, {}});
+        }
+    });
+}
+
+void store::renewLease(const std::string &lease, write_handler done)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/v1/session/renew/" + lease;
+    call(std::move(request), m_options.timeout, [done = std::move(done), peer = m_options.address.text()](const http_outcome &outcome) {
+        write_result result{write_effect::not_known, {outcome.error, "renew lease", peer, {}}};
+        if (!outcome.error && outcome.response.status == 200) {
+            result.effect = write_effect::took_effect;
+        } else if (!outcome.error && outcome.response.status == 404) {
+            result = {write_effect::did_not, {errc::not_found, "renew lease", peer, "the lease has lapsed"}};
+        }
+        done(result);
+    });
+}
+
+void store::holdKey(const std::string &key, const std::string &value, const std::string &lease, write_handler done)
+{
+    write("/v1/kv/" + key + "?acquire=" + lease, value, std::move(done));
+}
+
+void store::write(const std::string &target, const std::string &value, write_handler done)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = target;
     request.body = value;
     call(std::move(request), m_options.timeout, [done = std::move(done), peer = m_options.address.text()](const http_outcome &outcome) {
         write_result result;
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -67,8 +67,8 @@
     millis probeTimeout{150}; ///< for a direct answer
     int indirectProbes = 3; ///< members asked to probe in turn
     double suspicionPeriods = 2; ///< periods for which a suspect may refute
-    int newsPerMessage = 6;
-    double newsFactor = 3; ///< each news item is sent this factor times log2 of the members
+    int newsPerMessage = 4;
+    double newsFactor = 2; ///< each news item is sent this factor times log2 of the members
     millis deadKept{600'000}; ///< how long the dead are remembered
     int seedProbesEvery = 20; ///< periods between two probes of a seed or a dead member, so that partitions heal
     millis settleTime{5000}; ///< quiet time after which two tables should be the same
