--- a/apps/turmericsparctl/commands.cpp
+++ b/apps/turmericsparctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "turmericspar/base/command_line.h"
 #include "turmericspar/base/secret.h"
 #include "turmericspar/policy/configuration.h"
 
@@ -180,7 +181,7 @@
     if (!patch) {
         return complain(patch.error().text(), exit_code::usage);
     }
-    return submit(context, static_cast<std::uint64_t>(context.arguments.at("--base").asLong()), *patch);
+    return submit(context, static_cast<std::uint64_t>(numberOption(context.arguments.at("--base"), "--base")), *patch);
 }
 
 exit_code configShow(const command_context &context)
@@ -222,8 +223,8 @@
     if (!answer) {
         return complain(answer.error().text());
     }
-    const auto from = documentAt(answer->body, static_cast<std::uint64_t>(context.arguments.at("FROM").asLong()));
-    const auto to = documentAt(answer->body, static_cast<std::uint64_t>(context.arguments.at("TO").asLong()));
+    const auto from = documentAt(answer->body, static_cast<std::uint64_t>(numberOption(context.arguments.at("FROM"), "FROM")));
+    const auto to = documentAt(answer->body, static_cast<std::uint64_t>(numberOption(context.arguments.at("TO"), "TO")));
     if (!from || !to) {
         return complain("the node's history does not hold these versions", exit_code::usage);
     }
@@ -246,7 +247,7 @@
     if (!history || !present) {
         return complain((history ? present : history).error().text());
     }
-    const auto target = documentAt(history->body, static_cast<std::uint64_t>(context.arguments.at("--to").asLong()));
+    const auto target = documentAt(history->body, static_cast<std::uint64_t>(numberOption(context.arguments.at("--to"), "--to")));
     if (!target) {
         return complain("the node's history does not reach back to this version", exit_code::usage);
     }
@@ -257,7 +258,7 @@
 exit_code configWatch(const command_context &context)
 {
     const auto version = context.text("--version");
-    const auto timeout = std::chrono::milliseconds(context.arguments.at("--wait-ms").asLong());
+    const auto timeout = std::chrono::milliseconds(numberOption(context.arguments.at("--wait-ms"), "--wait-ms"));
     const auto until = std::chrono::steady_clock::now() + timeout;
     for (;;) {
         const auto answer = context.node.get("/v1/config/progress" + (version.empty() ? "" : "?version=" + version));
--- a/apps/turmericsparctl/main.cpp
+++ b/apps/turmericsparctl/main.cpp
@@ -2,6 +2,7 @@
 /// turmericsparctl, the operators' client.
 #include "commands.h"
 
+#include "turmericspar/base/command_line.h"
 #include "turmericspar/base/secret.h"
 
 #include <csignal>
@@ -66,7 +67,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto arguments = parseCommandLine(usage, argc, argv);
     const auto node = endpoint::parse(optionOr(arguments.at("--node"), "TURMERICSPAR_NODE", "127.0.0.1:8082"));
     if (!node) {
         return fail(node.error());
@@ -75,6 +76,6 @@
     if (!key) {
         return fail(key.error());
     }
-    const millis timeout{static_cast<double>(arguments.at("--timeout-ms").asLong())};
+    const millis timeout{static_cast<double>(numberOption(arguments.at("--timeout-ms"), "--timeout-ms"))};
     return static_cast<int>(runCommand(arguments, node_client(*node, key->operatorToken(), timeout)));
 }
--- a/apps/turmericspard/main.cpp
+++ b/apps/turmericspard/main.cpp
@@ -1,9 +1,9 @@
 /// @file main.cpp
 /// turmericspard, the node.
 #include "node_daemon.h"
+#include "turmericspar/base/command_line.h"
 
 #include <csignal>
-#include <docopt/docopt.h>
 #include <iostream>
 
 namespace {
@@ -26,7 +26,6 @@
 )";
 
 constexpr int exitFailed = 1;
-constexpr int exitSettings = 2;
 
 int runNode(const node_settings &settings, const key_ring &keys)
 {
@@ -47,18 +46,18 @@
 
 int main(int argc, char **argv)
 {
-    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto arguments = parseCommandLine(usage, argc, argv);
     std::vector<settings_mistake> mistakes;
-    const auto path = arguments["--settings"].asString();
+    const auto path = arguments.at("--settings").asString();
     const auto settings = readNodeSettings(path, mistakes);
     const auto keys = readKeys(settings, mistakes);
     for (const auto &mistake : mistakes) {
         std::cerr << path << ": " << mistake.text() << '\n';
     }
     if (!mistakes.empty()) {
-        return exitSettings;
+        return exitUsage;
     }
-    if (arguments["--check"].asBool()) {
+    if (arguments.at("--check").asBool()) {
         std::cout << path << ": sound\n";
         return 0;
     }
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -2,9 +2,9 @@
 /// replay: runs a trace with real nodes over loopback and prints its figures.
 #include "report.h"
 #include "run.h"
+#include "turmericspar/base/command_line.h"
 
 #include <csignal>
-#include <docopt/docopt.h>
 #include <filesystem>
 #include <fmt/format.h>
 #include <iostream>
@@ -32,7 +32,6 @@
 )";
 
 constexpr int exitMissed = 1;
-constexpr int exitUsage = 2;
 
 /// Splits "full,a=1,b=2" into a mode and tunables.
 bool readPolicy(const std::string &text, run_options &options)
@@ -143,9 +142,9 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto arguments = parseCommandLine(usage, argc, argv);
     std::vector<settings_mistake> mistakes;
-    const auto path = arguments["TRACE"].asString();
+    const auto path = arguments.at("TRACE").asString();
     auto plan = readTrace(path, mistakes);
     for (const auto &mistake : mistakes) {
         std::cerr << path << ": " << mistake.text() << '\n';
@@ -155,13 +154,13 @@
     }
     run_options options;
     const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
-    options.daemonPath = arguments["--daemon"] ? arguments["--daemon"].asString() : own.string();
-    options.firstPort = static_cast<int>(arguments["--port"].asLong());
-    options.logLevel = arguments["--log"].asString();
-    auto policies = arguments["--policy"].asStringList();
+    options.daemonPath = arguments.at("--daemon") ? arguments.at("--daemon").asString() : own.string();
+    options.firstPort = static_cast<int>(numberOption(arguments.at("--port"), "--port"));
+    options.logLevel = arguments.at("--log").asString();
+    auto policies = arguments.at("--policy").asStringList();
     if (policies.empty()) {
         policies.emplace_back("full");
     }
-    const auto report = arguments["--report"] ? arguments["--report"].asString() : std::string();
-    return replay(std::move(plan), options, policies, static_cast<int>(arguments["--seeds"].asLong()), report);
+    const auto report = arguments.at("--report") ? arguments.at("--report").asString() : std::string();
+    return replay(std::move(plan), options, policies, static_cast<int>(numberOption(arguments.at("--seeds"), "--seeds")), report);
 }
--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -3,12 +3,12 @@
 #include "fleet.h"
 #include "operator_ask.h"
 #include "standin_thread.h"
+#include "turmericspar/base/command_line.h"
 #include "turmericspar/base/http_call.h"
 #include "turmericspar/base/secret.h"
 
 #include <algorithm>
 #include <csignal>
-#include <docopt/docopt.h>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -252,13 +252,16 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto arguments = parseCommandLine(usage, argc, argv);
     std::vector<scale_point> points;
-    std::istringstream sizes(arguments["--sizes"].asString());
+    std::istringstream sizes(arguments.at("--sizes").asString());
     std::string size;
     while (std::getline(sizes, size, ',')) {
         scale_point point;
-        if (!measure(std::stoi(size), static_cast<int>(arguments["--seconds"].asLong()), static_cast<int>(arguments["--port"].asLong()), point)) {
+        if (!measure(std::stoi(size),
+                     static_cast<int>(numberOption(arguments.at("--seconds"), "--seconds")),
+                     static_cast<int>(numberOption(arguments.at("--port"), "--port")),
+                     point)) {
             std::cerr << "scale: " << size << " nodes did not settle\n";
             return 1;
         }
--- a/bench/tests/node_test.cpp
+++ b/bench/tests/node_test.cpp
@@ -8,9 +8,12 @@
 #include "turmericspar/caller/call_fields.h"
 #include "turmericspar/policy/configuration.h"
 
+#include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 namespace {
@@ -172,6 +175,28 @@
     EXPECT_TRUE(waitForAll(nodes->nodes(), token, [&](const json &status) { return status["version"] == before + 1; }));
 }
 
+TEST_F(node_test, the_client_refuses_a_stale_patch_with_its_own_exit_code)
+{
+    constexpr int conflict = 3;
+    const auto client = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path() / "bin/turmericsparctl";
+    const auto &node = nodes->nodes()[0];
+    const auto file = nodes->directory() + "/patch.json";
+    std::ofstream(file) << R"({"retries_per_request": 1})";
+    const auto run = [&](const std::string &words) {
+        const auto line = client.string() + " --node=" + node.operators.text() + " --key=" + nodes->keyFile() + " " + words + " >/dev/null 2>&1";
+        return WEXITSTATUS(std::system(line.c_str()));
+    };
+    const auto before = (*askOperators(node, token, "GET", "/v1/config"))["version"].get<std::uint64_t>();
+    EXPECT_EQ(run("config patch --base=" + std::to_string(before) + " " + file), 0);
+    EXPECT_EQ(run("config patch --base=" + std::to_string(before) + " " + file), conflict);
+    EXPECT_EQ((*askOperators(node, token, "GET", "/v1/config"))["version"], before + 1);
+    EXPECT_EQ(run("config watch"), 0);
+    EXPECT_EQ(run("status"), 0);
+    EXPECT_EQ(run("upstreams --json"), 0);
+    EXPECT_EQ(run("config history"), 0);
+    EXPECT_EQ(run("--key=/nonexistent status"), 2);
+}
+
 TEST_F(node_test, operators_need_the_token)
 {
     EXPECT_FALSE(askOperators(nodes->nodes()[0], "wrong", "GET", "/v1/status"));
--- /dev/null
+++ b/packages/base/include/turmericspar/base/command_line.h
@@ -0,0 +1,42 @@
+/// @file command_line.h
+/// Command lines by docopt, with exit codes that the help texts state. Programs that include it link docopt.
+#pragma once
+
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <map>
+#include <stdexcept>
+#include <string>
+
+namespace turmericspar {
+
+/// What a program ends with when its command line has mistakes.
+inline constexpr int exitUsage = 2;
+
+/// Reads a command line by its usage text; ends the program for --help and for mistakes.
+inline std::map<std::string, docopt::value> parseCommandLine(const char *usage, int argc, char **argv)
+{
+    try {
+        return docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, false);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        std::exit(0);
+    } catch (const std::exception &error) {
+        std::cerr << argv[0] << ": " << error.what() << "\n\n" << usage;
+        std::exit(exitUsage);
+    }
+}
+
+/// @return a whole number that an option gives; ends the program if it gives none.
+inline long numberOption(const docopt::value &option, const char *name)
+{
+    try {
+        return option.asLong();
+    } catch (const std::exception &) {
+        std::cerr << name << ": expected a whole number\n";
+        std::exit(exitUsage);
+    }
+}
+
+} // namespace turmericspar
