--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -43,11 +43,6 @@
     return seeds;
 }
 
-bool isLive(const member &entry)
-{
-    return entry.state == member_state::alive || entry.state == member_state::suspect;
-}
-
 } // namespace
 
 control_path::control_path(
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -239,8 +239,7 @@
         logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
     }
     for (const auto &[node, entry] : m_control.members().members()) {
-        const bool live = entry.state == member_state::alive || entry.state == member_state::suspect;
-        if (live && entry.service == m_calls.service()) {
+        if (isLive(entry) && entry.service == m_calls.service()) {
             m_links.tellSuspicions(node, push);
         }
     }
@@ -268,8 +267,7 @@
     if (entry.service.empty()) {
         return;
     }
-    const bool live = entry.state == member_state::alive || entry.state == member_state::suspect;
-    m_calls.routes().update(entry.node, entry.service, entry.domain, live && entry.ready);
+    m_calls.routes().update(entry.node, entry.service, entry.domain, isLive(entry) && entry.ready);
     m_calls.reconfigure();
 }
 
--- a/bench/signature/main.cpp
+++ b/bench/signature/main.cpp
@@ -208,7 +208,6 @@
             inside.pop();
             ++busy;
             m_ends.push({m_now + m_calls[id - 1].serviceTime, node, id});
-            m_startedAt[{node, id}] = m_now;
         }
     }
 
@@ -253,7 +252,6 @@
     std::vector<int> m_busy;
     std::vector<std::queue<call_id>> m_inside;
     std::map<call_id, int> m_attempts;
-    std::map<std::pair<int, call_id>, millis> m_startedAt;
     std::priority_queue<run_end, std::vector<run_end>, std::greater<>> m_ends;
     std::uint64_t m_signature = 0;
     std::uint64_t m_decisions = 0;
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -38,6 +38,9 @@
     std::uint64_t version = 0; ///< configuration in force, as last heard
 };
 
+/// @return whether a member takes part: it is alive, or suspected and not yet given up.
+bool isLive(const member &entry);
+
 /// What a gossip message is for.
 enum class gossip_kind { probe, answer, indirect_probe, news };
 
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-bool isLive(const member &entry)
-{
-    return entry.state == member_state::alive || entry.state == member_state::suspect;
-}
-
 /// @return what an entry adds to the digest of a table: members that are not live add nothing.
 std::uint64_t digestOf(const member &entry)
 {
@@ -38,6 +33,11 @@
 
 } // namespace
 
+bool isLive(const member &entry)
+{
+    return entry.state == member_state::alive || entry.state == member_state::suspect;
+}
+
 membership::membership(const membership_tunables &tuning, member self, std::uint64_t seed)
     : m_tuning(tuning), m_self(std::move(self)), m_random(seed), m_digest(digestOf(m_self))
 {
