--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -176,11 +176,11 @@
     attempt_result told;
     told.outcome = call_outcome::ran;
     told.level = 15.5;
-    for (int i = 0; i < 20; ++i) {
+    for (call_id call = 100; call < 120; ++call) {
         context.place.draw = 0xffffffffU;
         std::vector<entry_action> actions;
-        decisions.submit(static_cast<call_id>(100 + i), "s", context, {10}, actions);
-        decisions.replied(static_cast<call_id>(100 + i), 1, told, {10}, actions);
+        decisions.submit(call, "s", context, {10}, actions);
+        decisions.replied(call, 1, told, {10}, actions);
     }
     context.place.draw = 0;
     std::vector<entry_action> actions;
