A relay between failure domains: cuts, one-way cuts, delay, loss and silent connections in traces

Cause: no trace could cut failure domains off or let open connections go silent, so the promises about them were unproven. Links leave from the address on which their node listens, and listen.advertised names another one for the other nodes.

--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -45,6 +45,8 @@
     {"level_headroom", &tunables::levelHeadroom, 0.1, 2},
     {"level_busy_share", &tunables::levelBusyShare, 0, 1},
     {"level_blend", &tunables::levelBlend, 0.01, 1},
+    {"silence_factor", &tunables::silenceFactor, 1, 100},
+    {"other_domain_factor", &tunables::otherDomainFactor, 1, 100},
     {"retry_ratio", &tunables::retryRatio, 0, 1},
     {"retry_burst", &tunables::retryBurst, 0, 1e6},
 };
@@ -54,8 +56,10 @@
     {"level_memory_ms", &tunables::levelMemory, 1, oneHourMs},
     {"level_window_ms", &tunables::levelWindow, 1, oneHourMs},
     {"level_report_life_ms", &tunables::levelReportLife, 1, oneHourMs},
+    {"silence_least_ms", &tunables::silenceLeast, 1, oneHourMs},
     {"trip_to_other_domain_ms", &tunables::tripToOtherDomain, 0, oneHourMs},
     {"refusal_penalty_ms", &tunables::refusalPenalty, 0, oneHourMs},
+    {"unreachable_penalty_ms", &tunables::unreachablePenalty, 0, oneHourMs},
     {"retry_after_least_ms", &tunables::retryAfterLeast, 0, oneHourMs},
     {"retry_after_spread_ms", &tunables::retryAfterSpread, 0, oneHourMs},
 };
@@ -88,6 +92,8 @@
     read.upstream = place.child("upstream").requiredAddress();
     read.operators = place.child("operators").requiredAddress();
     read.nodes = place.child("nodes").requiredAddress();
+    auto advertised = place.child("advertised");
+    read.advertised = advertised.present() ? advertised.requiredAddress() : read.nodes;
     place.finish();
 }
 
--- a/apps/turmericspard/node_settings.h
+++ b/apps/turmericspard/node_settings.h
@@ -28,6 +28,7 @@
     endpoint upstream; ///< where the upstream announces itself
     endpoint operators; ///< where operators' commands come in
     endpoint nodes; ///< for other nodes: TCP for links, UDP for gossip
+    endpoint advertised; ///< by which other nodes reach `nodes`; the same unless something translates addresses between them
     std::optional<endpoint> platform; ///< the platform's key-value service
     std::string platformPrefix = "turmericspar";
     std::vector<std::string> keyFiles;
--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr millis tickPeriod{1};
 constexpr millis connectTimeout{1000};
 
 } // namespace
@@ -55,7 +54,7 @@
 {
     m_onEnd = std::move(onEnd);
     m_startedAt = monotonicNow();
-    m_tick = m_loop.every(tickPeriod, [this] { dispatch(); });
+    m_due = m_loop.after(millis{0}, [this] { dispatch(); });
 }
 
 void caller_load::dispatch()
@@ -78,8 +77,16 @@
         ++m_open;
         send(request);
     }
+    if (m_next < m_arrivals.size()) {
+        m_due->restart(m_startedAt + m_arrivals[m_next].at - monotonicNow());
+    } else {
+        endIfDone();
+    }
+}
+
+void caller_load::endIfDone()
+{
     if (m_next == m_arrivals.size() && m_open == 0) {
-        m_tick->stop();
         m_onEnd();
     }
 }
@@ -205,6 +212,7 @@
     // The timer holds the request; it must not be destroyed while it runs.
     m_loop.defer([request] { request->retryTimer.reset(); });
     --m_open;
+    endIfDone();
 }
 
 } // namespace turmericspar
--- a/bench/replay/caller_load.h
+++ b/bench/replay/caller_load.h
@@ -55,6 +55,7 @@
 
     void plan();
     void dispatch();
+    void endIfDone();
     void send(const request_ptr &request);
     void answered(const request_ptr &request, const http_outcome &outcome);
     void judge(const request_ptr &request, const http_outcome &outcome);
@@ -75,7 +76,7 @@
     std::vector<std::vector<std::unique_ptr<http_client>>> m_idle;
     millis m_startedAt{0};
     std::function<void()> m_onEnd;
-    watch_ptr m_tick;
+    watch_ptr m_due; ///< for the next arrival
 };
 
 } // namespace turmericspar
--- a/bench/replay/fleet.cpp
+++ b/bench/replay/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "turmericspar/base/secret.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -18,6 +19,8 @@
 
 constexpr int portsPerNode = 4;
 constexpr const char *loopback = "127.0.0.1";
+/// Where nodes reach each other while a relay stands between them.
+constexpr const char *relayFront = "127.0.0.2";
 constexpr std::size_t keyBytes = 32;
 constexpr std::size_t seedsMax = 3;
 
@@ -26,6 +29,12 @@
     return {loopback, static_cast<std::uint16_t>(first + static_cast<int>(index) * portsPerNode + which)};
 }
 
+domain_number numberOf(const trace &plan, const std::string &domain)
+{
+    const auto names = plan.domains();
+    return static_cast<domain_number>(std::find(names.begin(), names.end(), domain) - names.begin());
+}
+
 } // namespace
 
 fleet::fleet(const trace &plan, fleet_options options) : m_plan(plan), m_options(std::move(options))
@@ -40,6 +49,11 @@
         node.upstream = portOf(m_options.firstPort, i, 1);
         node.operators = portOf(m_options.firstPort, i, 2);
         node.nodes = portOf(m_options.firstPort, i, 3);
+        node.bound = node.nodes;
+        if (plan.needsRelay()) {
+            node.nodes.ip = relayFront;
+            node.bound.ip = relayedIp(numberOf(plan, node.domain));
+        }
         m_nodes.push_back(std::move(node));
     }
     m_processes.assign(m_nodes.size(), 0);
@@ -54,17 +68,40 @@
     }
 }
 
+/// @return where the nodes of a failure domain reach the platform's store.
+endpoint fleet::platformFor(const std::string &domain) const
+{
+    return m_plan.needsRelay() ? endpoint{relayedIp(numberOf(m_plan, domain)), m_options.platform.port} : m_options.platform;
+}
+
+std::vector<relayed_place> fleet::relayedPlaces() const
+{
+    std::vector<relayed_place> places;
+    if (!m_plan.needsRelay()) {
+        return places;
+    }
+    for (const auto &node : m_nodes) {
+        places.push_back({node.nodes, node.bound, numberOf(m_plan, node.domain), -1, true});
+    }
+    const auto names = m_plan.domains();
+    for (std::size_t i = 1; i < names.size(); ++i) {
+        places.push_back({platformFor(names[i]), m_options.platform, storeDomain, static_cast<domain_number>(i), false});
+    }
+    return places;
+}
+
 std::string fleet::settingsText(std::size_t index) const
 {
     const auto &node = m_nodes[index];
-    std::string text = fmt::format("name: {}\nfailure_domain: {}\nlisten:\n  callers: {}\n  upstream: {}\n  operators: {}\n  nodes: {}\n",
+    std::string text = fmt::format("name: {}\nfailure_domain: {}\nlisten:\n  callers: {}\n  upstream: {}\n  operators: {}\n  nodes: {}\n  advertised: {}\n",
                                    node.name,
                                    node.domain,
                                    node.callers.text(),
                                    node.upstream.text(),
                                    node.operators.text(),
+                                   node.bound.text(),
                                    node.nodes.text());
-    text += fmt::format("platform:\n  address: {}\n  prefix: replay\nkeys: [{}]\nseeds:\n", m_options.platform.text(), m_keyFile);
+    text += fmt::format("platform:\n  address: {}\n  prefix: replay\nkeys: [{}]\nseeds:\n", platformFor(node.domain).text(), m_keyFile);
     for (std::size_t i = 0; i < std::min(seedsMax, m_nodes.size()); ++i) {
         text += fmt::format("  - {}\n", m_nodes[i].nodes.text());
     }
--- a/bench/replay/fleet.h
+++ b/bench/replay/fleet.h
@@ -2,6 +2,7 @@
 /// The node processes of a replay: their settings, their start and their end.
 #pragma once
 
+#include "relay.h"
 #include "trace.h"
 #include "turmericspar/policy/serving.h"
 
@@ -19,7 +20,8 @@
     endpoint callers;
     endpoint upstream;
     endpoint operators;
-    endpoint nodes;
+    endpoint nodes; ///< by which other nodes reach it
+    endpoint bound; ///< where it listens for them: `nodes`, unless a relay stands between
 };
 
 /// How a fleet is run.
@@ -55,6 +57,8 @@
     void pauseNode(std::size_t index, bool paused);
 
     const std::vector<node_addresses> &nodes() const { return m_nodes; }
+    /// @return what a relay has to carry between the failure domains; nothing if the trace needs none.
+    std::vector<relayed_place> relayedPlaces() const;
     const std::string &keyFile() const { return m_keyFile; }
     const std::string &directory() const { return m_directory; }
     /// @return processor time that the nodes used until now, in seconds, and the largest memory of one, in MB.
@@ -64,6 +68,7 @@
 
 private:
     result<bool> writeFiles();
+    endpoint platformFor(const std::string &domain) const;
     std::string settingsText(std::size_t index) const;
 
     const trace &m_plan;
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -16,17 +16,22 @@
 constexpr const char *usage = R"(replay: runs a trace with real nodes over loopback and prints its figures.
 
 Usage:
-  replay TRACE [--policy=NAME...] [--seeds=N] [--report=FILE] [--daemon=FILE] [--port=N] [--log=LEVEL]
+  replay TRACE [--policy=NAME...] [--fault=NAME...] [--first-seed=N] [--seeds=N] [--report=FILE] [--daemon=FILE] [--port=N] [--log=LEVEL] [--misses]
+  replay TRACE --list-faults
   replay --help
 
 Options:
   --policy=NAME   full, none, or full with tunables: "full,queue_share=2,level_headroom=0.9". Several are run in turn.
                   Without this option: full.
+  --fault=NAME    Adds the events of a fault that the trace names. Several may be added.
+  --list-faults   Prints the names of the trace's faults.
+  --first-seed=N  The first seed. Without this option: the trace's.
   --seeds=N       Runs of each policy, with seeds that count up from the trace's. [default: 1]
   --report=FILE   Writes an HTML report of the first seed.
   --daemon=FILE   The node's program. Without this option: turmericspard beside this program.
   --port=N        First of the ports used on 127.0.0.1. [default: 20000]
   --log=LEVEL     How much the nodes log. [default: warning]
+  --misses        Prints how the requests ended that were not answered in time.
 
 Exit codes: 0 all stated outcomes were met and no promise was broken; 1 otherwise; 2 the trace or the options have mistakes.
 )";
@@ -86,7 +91,7 @@
     return met;
 }
 
-int replay(trace plan, run_options options, const std::vector<std::string> &policies, int seeds, const std::string &reportPath)
+int replay(trace plan, run_options options, const std::vector<std::string> &policies, int seeds, const std::string &reportPath, bool misses)
 {
     bool good = true;
     const auto firstSeed = plan.seed;
@@ -110,6 +115,11 @@
             for (const auto &score : run.scores) {
                 fmt::print("{} seed={}\n", scoreRow(plan.name, policy, score), plan.seed);
             }
+            if (misses) {
+                for (const auto &row : missRows(plan, run.history)) {
+                    fmt::print("{}\n", row);
+                }
+            }
             fmt::print("run trace={} policy={} seed={} requests={} upstream_runs={} node_cpu_s={:.2f} wall_s={:.1f} node_memory_mb={:.1f} broken_promises={}\n",
                        plan.name,
                        policy,
@@ -152,6 +162,22 @@
     if (!mistakes.empty()) {
         return exitUsage;
     }
+    if (arguments.at("--list-faults").asBool()) {
+        for (const auto &fault : plan.faults) {
+            fmt::print("{}\n", fault.name);
+        }
+        return 0;
+    }
+    for (const auto &name : arguments.at("--fault").asStringList()) {
+        if (!plan.addFault(name)) {
+            std::cerr << path << ": no such fault: " << name << '\n';
+            return exitUsage;
+        }
+        plan.name += "+" + name;
+    }
+    if (arguments.at("--first-seed")) {
+        plan.seed = static_cast<std::uint64_t>(numberOption(arguments.at("--first-seed"), "--first-seed"));
+    }
     run_options options;
     const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
     options.daemonPath = arguments.at("--daemon") ? arguments.at("--daemon").asString() : own.string();
@@ -162,5 +188,6 @@
         policies.emplace_back("full");
     }
     const auto report = arguments.at("--report") ? arguments.at("--report").asString() : std::string();
-    return replay(std::move(plan), options, policies, static_cast<int>(numberOption(arguments.at("--seeds"), "--seeds")), report);
+    return replay(
+        std::move(plan), options, policies, static_cast<int>(numberOption(arguments.at("--seeds"), "--seeds")), report, arguments.at("--misses").asBool());
 }
--- a/bench/replay/run.cpp
+++ b/bench/replay/run.cpp
@@ -32,21 +32,30 @@
     return true;
 }
 
-/// Stops, restarts and pauses nodes as the trace says; runs on the load's loop.
+/// Stops, kills, restarts and pauses nodes as the trace says; runs on the load's loop.
 class node_events
 {
 public:
     node_events(event_loop &loop, const trace &plan, fleet &nodes)
     {
         for (const auto &event : plan.events) {
-            const bool stops = event.kind == event_kind::stop_node;
-            const bool pauses = event.kind == event_kind::pause_node;
-            if (!stops && !pauses) {
-                continue;
-            }
             const auto index = indexOf(plan, event);
-            m_timers.push_back(loop.after(event.at, [&nodes, index, stops] { stops ? nodes.stopNode(index) : nodes.pauseNode(index, true); }));
-            m_timers.push_back(loop.after(event.until, [&nodes, index, stops] { stops ? nodes.startNode(index) : nodes.pauseNode(index, false); }));
+            switch (event.kind) {
+            case event_kind::stop_node:
+                m_timers.push_back(loop.after(event.at, [&nodes, index] { nodes.stopNode(index); }));
+                m_timers.push_back(loop.after(event.until, [&nodes, index] { nodes.startNode(index); }));
+                break;
+            case event_kind::kill_node:
+                m_timers.push_back(loop.after(event.at, [&nodes, index] { nodes.killNode(index); }));
+                m_timers.push_back(loop.after(event.until, [&nodes, index] { nodes.startNode(index); }));
+                break;
+            case event_kind::pause_node:
+                m_timers.push_back(loop.after(event.at, [&nodes, index] { nodes.pauseNode(index, true); }));
+                m_timers.push_back(loop.after(event.until, [&nodes, index] { nodes.pauseNode(index, false); }));
+                break;
+            default:
+                break;
+            }
         }
     }
 
@@ -71,7 +80,7 @@
     // Step 1. Stand-ins and nodes
     const endpoint platform{"127.0.0.1", static_cast<std::uint16_t>(options.firstPort - 1)};
     fleet nodes(plan, {options.daemonPath, options.mode, options.firstPort, platform, options.tunables, options.logLevel});
-    standin_thread standins(plan, nodes.nodes(), platform);
+    standin_thread standins(plan, nodes.nodes(), platform, nodes.relayedPlaces());
     standins.start();
     const auto started = nodes.start();
     const auto key = shared_key::read(nodes.keyFile());
--- a/bench/replay/score.cpp
+++ b/bench/replay/score.cpp
@@ -46,20 +46,38 @@
 /// Finds how long a phase took to come to its ideal.
 double recovery(const trace &plan, const run_history &history, const trace_phase &phase)
 {
+    // Step 1. What was offered and answered in each step
+    const auto steps = static_cast<std::size_t>((phase.until - phase.from) / recoveryStep);
+    const auto windowSteps = static_cast<std::size_t>(recoveryWindow / recoveryStep);
+    std::vector<double> offered(steps);
+    std::vector<double> inTime(steps);
+    for (const auto &record : history.requests) {
+        if (!inPhase(record, phase)) {
+            continue;
+        }
+        const auto step = static_cast<std::size_t>((record.at - phase.from) / recoveryStep);
+        if (step < steps) {
+            offered[step] += 1;
+            inTime[step] += record.inTime ? 1 : 0;
+        }
+    }
+
+    // Step 2. The first window that is as good as the ideal
     const double idealPerWindow = idealIn(plan, phase, -1, recoveryWindow);
-    for (millis from = phase.from; from + recoveryWindow <= phase.until; from += recoveryStep) {
-        double offered = 0;
-        double inTime = 0;
-        for (const auto &record : history.requests) {
-            if (record.at >= from && record.at < from + recoveryWindow) {
-                offered += 1;
-                inTime += record.inTime ? 1 : 0;
-            }
+    double offeredInWindow = 0;
+    double inTimeInWindow = 0;
+    for (std::size_t end = 0; end < steps; ++end) {
+        offeredInWindow += offered[end];
+        inTimeInWindow += inTime[end];
+        if (end + 1 < windowSteps) {
+            continue;
         }
-        const double ideal = std::min(offered, idealPerWindow);
-        if (inTime >= recoveredShare * ideal) {
-            return (from - phase.from).count;
+        const std::size_t begin = end + 1 - windowSteps;
+        if (inTimeInWindow >= recoveredShare * std::min(offeredInWindow, idealPerWindow)) {
+            return (recoveryStep * static_cast<double>(begin)).count;
         }
+        offeredInWindow -= offered[begin];
+        inTimeInWindow -= inTime[begin];
     }
     return -1;
 }
@@ -202,6 +220,23 @@
     return known ? found->second : 0;
 }
 
+std::vector<std::string> missRows(const trace &plan, const run_history &history)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &record : history.requests) {
+        const auto *phase = plan.phaseAt(record.at);
+        if (!record.inTime && phase) {
+            const auto &caller = plan.callers[record.caller].name;
+            ++counts[fmt::format("phase={} caller={} status={} reason=\"{}\"", phase->name, caller, record.lastStatus, record.lastReason)];
+        }
+    }
+    std::vector<std::string> rows;
+    for (const auto &[what, count] : counts) {
+        rows.push_back(fmt::format("missed trace={} policy={} {} count={}", plan.name, history.policy, what, count));
+    }
+    return rows;
+}
+
 std::vector<goodput_point> goodputSeries(const trace &plan, const run_history &history, millis step)
 {
     std::vector<goodput_point> series(static_cast<std::size_t>(plan.end() / step) + 1);
--- a/bench/replay/score.h
+++ b/bench/replay/score.h
@@ -60,6 +60,9 @@
 /// @return the value of a named measure.
 double measureOf(const phase_score &score, const std::string &name, bool &known);
 
+/// @return a line for each phase, caller and last answer among the requests that were not answered in time.
+std::vector<std::string> missRows(const trace &plan, const run_history &history);
+
 /// Requests of a span: offered and answered in time.
 struct goodput_point
 {
--- a/bench/replay/standin_thread.h
+++ b/bench/replay/standin_thread.h
@@ -14,11 +14,11 @@
 
 namespace turmericspar {
 
-/// Runs the platform's stand-in and one upstream stand-in for each node.
+/// Runs the platform's stand-in, one upstream stand-in for each node, and the relay between failure domains.
 class standin_thread
 {
 public:
-    standin_thread(const trace &plan, const std::vector<node_addresses> &nodes, endpoint platform);
+    standin_thread(const trace &plan, const std::vector<node_addresses> &nodes, endpoint platform, std::vector<relayed_place> relayed = {});
 
     void start();
     /// Lets the events of the trace happen from now on.
@@ -31,13 +31,23 @@
     using upstream_list = std::vector<std::unique_ptr<upstream_standin>>;
 
     void run();
-    void happen(store_standin &platform, upstream_list &upstreams);
-    void apply(const trace_event &event, bool begins, store_standin &platform, upstream_list &upstreams);
+    /// What events act on.
+    struct stage
+    {
+        store_standin &platform;
+        upstream_list &upstreams;
+        relay &ways;
+    };
+    void happen(const stage &on);
+    void apply(const trace_event &event, bool begins, const stage &on);
+    void silence(const trace_event &event, const stage &on) const;
+    void applyToWays(const trace_event &event, bool begins, relay &ways) const;
     static void applyTo(const trace_event &event, bool begins, upstream_standin &upstream);
 
     const trace &m_plan;
     const std::vector<node_addresses> &m_nodes;
     endpoint m_platform;
+    std::vector<relayed_place> m_relayed;
     std::thread m_thread;
     std::atomic<bool> m_stop = false;
     std::atomic<double> m_eventsFrom = -1;
--- a/bench/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -106,7 +106,7 @@
     read.phases.push_back(std::move(phase));
 }
 
-void readEvent(settings_reader place, trace &read)
+trace_event readEvent(settings_reader place)
 {
     trace_event event;
     event.kind = place.child("kind").choice(eventKindNames, event_kind::slow);
@@ -115,8 +115,39 @@
     event.service = place.child("service").text({});
     event.index = place.child("index").integer(-1, -1, 10'000);
     event.factor = place.child("factor").number(1, 0, 1e6);
+    event.domain = place.child("failure_domain").text({});
+    event.other = place.child("other").text({});
+    event.oneWay = place.child("one_way").flag(false);
     place.finish();
-    read.events.push_back(std::move(event));
+    return event;
+}
+
+trace_fault readFault(settings_reader place)
+{
+    trace_fault fault;
+    fault.name = place.child("name").requiredText();
+    place.child("events").each([&](settings_reader item) { fault.events.push_back(readEvent(std::move(item))); });
+    place.finish();
+    return fault;
+}
+
+/// Checks that the failure domains that events name exist.
+void checkDomains(settings_reader &place, const trace &read, const std::vector<trace_event> &events)
+{
+    const auto known = read.domains();
+    for (const auto &event : events) {
+        for (const auto &name : {event.domain, event.other}) {
+            if (!name.empty() && std::find(known.begin(), known.end(), name) == known.end()) {
+                place.mistake("an event names an unknown failure domain: " + name);
+            }
+        }
+    }
+}
+
+bool concernsWays(const trace_event &event)
+{
+    const bool onWays = event.kind == event_kind::cut || event.kind == event_kind::delay || event.kind == event_kind::loss;
+    return onWays || event.kind == event_kind::silence;
 }
 
 void readOutcome(settings_reader place, trace &read)
@@ -174,16 +205,47 @@
     root.child("services").eachKey([&](const std::string &name, settings_reader place) { readService(name, std::move(place), read); });
     root.child("callers").each([&](settings_reader place) { readCaller(std::move(place), read); });
     root.child("phases").each([&](settings_reader place) { readPhase(std::move(place), read); });
-    root.child("events").each([&](settings_reader place) { readEvent(std::move(place), read); });
+    root.child("events").each([&](settings_reader place) { read.events.push_back(readEvent(std::move(place))); });
+    root.child("faults").each([&](settings_reader place) { read.faults.push_back(readFault(std::move(place))); });
     root.child("outcomes").each([&](settings_reader place) { readOutcome(std::move(place), read); });
     root.finish();
     if (read.upstreams.empty() || read.callers.empty() || read.phases.empty()) {
         root.mistake("a trace needs services with upstreams, callers, and phases");
     }
     resolveRanks(configuration, read);
+    checkDomains(root, read, read.events);
+    for (const auto &fault : read.faults) {
+        checkDomains(root, read, fault.events);
+    }
     return read;
 }
 
+bool trace::needsRelay() const
+{
+    return std::any_of(events.begin(), events.end(), concernsWays);
+}
+
+std::vector<std::string> trace::domains() const
+{
+    std::vector<std::string> names{"store"};
+    for (const auto &upstream : upstreams) {
+        if (std::find(names.begin(), names.end(), upstream.domain) == names.end()) {
+            names.push_back(upstream.domain);
+        }
+    }
+    return names;
+}
+
+bool trace::addFault(const std::string &name)
+{
+    const auto found = std::find_if(faults.begin(), faults.end(), [&](const trace_fault &fault) { return fault.name == name; });
+    if (found == faults.end()) {
+        return false;
+    }
+    events.insert(events.end(), found->events.begin(), found->events.end());
+    return true;
+}
+
 millis trace::end() const
 {
     millis last{0};
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -48,9 +48,38 @@
 };
 
 /// What can happen during a trace.
-enum class event_kind { slow, crash, drain, undrain, failing, stop_node, pause_node, store_down, store_slow, lose_answers, patch };
-inline constexpr name_table<event_kind, 11> eventKindNames{
-    {"slow", "crash", "drain", "undrain", "failing", "stop-node", "pause-node", "store-down", "store-slow", "lose-answers", "patch"}};
+enum class event_kind {
+    slow,
+    crash,
+    drain,
+    undrain,
+    failing,
+    stop_node,
+    pause_node,
+    store_down,
+    store_slow,
+    lose_answers,
+    kill_node,
+    silence,
+    cut,
+    delay,
+    loss
+};
+inline constexpr name_table<event_kind, 15> eventKindNames{{"slow",
+                                                            "crash",
+                                                            "drain",
+                                                            "undrain",
+                                                            "failing",
+                                                            "stop-node",
+                                                            "pause-node",
+                                                            "store-down",
+                                                            "store-slow",
+                                                            "lose-answers",
+                                                            "kill-node",
+                                                            "silence",
+                                                            "cut",
+                                                            "delay",
+                                                            "loss"}};
 
 /// Something that happens.
 struct trace_event
@@ -61,6 +90,16 @@
     std::string service; ///< the upstreams concerned: all of the service,
     int index = -1; ///< or one of them, by its number within the service
     double factor = 1;
+    std::string domain; ///< for cut, delay and loss: what passes between this failure domain
+    std::string other; ///< and this one, or "store"; empty for all others and the store
+    bool oneWay = false; ///< only what leaves `domain` is concerned
+};
+
+/// A named fault, of which several can be combined.
+struct trace_fault
+{
+    std::string name;
+    std::vector<trace_event> events;
 };
 
 /// A figure that the trace is to reach.
@@ -84,10 +123,18 @@
     std::vector<trace_caller> callers;
     std::vector<trace_phase> phases;
     std::vector<trace_event> events;
+    std::vector<trace_fault> faults; ///< that a run may add to the events
     std::vector<trace_outcome> outcomes;
 
     millis end() const;
     const trace_phase *phaseAt(millis at) const;
+    /// @return whether an event concerns what passes between failure domains.
+    bool needsRelay() const;
+    /// @return the names of the failure domains; the place of "store" is 0.
+    std::vector<std::string> domains() const;
+    /// Adds the events of a named fault.
+    /// @return whether there is one of this name
+    bool addFault(const std::string &name);
     /// @return the load of a caller at a time, in requests a second.
     double rate(const trace_caller &caller, millis at) const;
     /// @return the share of its slots that an upstream has on average in a span, by what goes wrong with it.
--- a/bench/standins/upstream_standin.cpp
+++ b/bench/standins/upstream_standin.cpp
@@ -67,7 +67,11 @@
     if (!bound) {
         return bound;
     }
+    const bool moved = m_address != *bound;
     m_address = *bound;
+    if (moved) {
+        m_announced = m_front ? m_front(m_address) : m_address;
+    }
     m_up = true;
     m_startedAt = monotonicNow();
     m_announceTimer = m_loop.every(announcePeriod, [this] { announce(); });
@@ -82,7 +86,7 @@
     }
     const bool cold = monotonicNow() - m_startedAt < m_shape.coldStart;
     const nlohmann::json said{{"service", m_shape.service},
-                              {"address", m_address.text()},
+                              {"address", m_announced.text()},
                               {"slots", m_shape.announcedSlots > 0 ? m_shape.announcedSlots : m_shape.slots},
                               {"connections", m_shape.connections},
                               {"cold", cold},
@@ -230,6 +234,7 @@
     http_request request;
     request.fields.add("Host", service);
     request.fields.add(field::context, work->context);
+    request.fields.add(field::needed, "1");
     ++work->callsOut;
     auto &client = work->clients.emplace_back(takeClient());
     auto *raw = client.get();
--- a/bench/standins/upstream_standin.h
+++ b/bench/standins/upstream_standin.h
@@ -59,6 +59,8 @@
     upstream_standin(event_loop &loop, upstream_shape shape, endpoint nodeAnnounce, endpoint nodeCallers, std::uint64_t seed);
     ~upstream_standin();
 
+    /// Sets what stands in front of the upstream: it is given the upstream's address and returns the one to announce.
+    void setFront(std::function<endpoint(const endpoint &)> front) { m_front = std::move(front); }
     /// Opens the socket and announces itself.
     result<endpoint> start();
     /// Lets the cold start begin now.
@@ -75,6 +77,7 @@
     std::vector<run_record> &records() { return m_records; }
     /// @return how often a request that crashes upstreams came.
     int poisoned() const { return m_poisoned; }
+    const endpoint &address() const { return m_address; }
     std::size_t running() const { return m_running; }
 
 private:
@@ -100,6 +103,8 @@
     endpoint m_nodeCallers;
     std::mt19937_64 m_random;
     endpoint m_address{"127.0.0.1", 0};
+    endpoint m_announced;
+    std::function<endpoint(const endpoint &)> m_front;
     std::unique_ptr<http_server> m_server;
     std::unique_ptr<http_client> m_announcer;
     std::vector<std::unique_ptr<http_client>> m_clients;
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -31,6 +31,12 @@
     return "tcp://" + address.text();
 }
 
+/// @return ZeroMQ's name for a connection to a node that leaves from the IP number at which this node listens.
+std::string zmqConnection(const endpoint &listening, const node_id &to)
+{
+    return zmqAddress({listening.ip, 0}) + ";" + to;
+}
+
 } // namespace
 
 /// The link to one other node.
@@ -151,7 +157,7 @@
     zmq_setsockopt(raw, ZMQ_MAXMSGSIZE, &m_options.messageBytesMax, sizeof(m_options.messageBytesMax));
     target.channel->setOption(ZMQ_SNDHWM, m_options.messagesMax);
     target.channel->setOption(ZMQ_RCVHWM, m_options.messagesMax);
-    zmq_connect(raw, ("tcp://" + target.node).c_str());
+    zmq_connect(raw, zmqConnection(m_options.listen, target.node).c_str());
     target.channel->startWatching();
     greet(target);
 }
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -41,14 +41,22 @@
     double levelBlend = 0.3; ///< weight of a new report of a level among those before
     millis levelReportLife{150}; ///< how long a told level stands without a new report
 
+    // Silent connections to an upstream
+    millis silenceLeast{300}; ///< shortest time after which an unanswered call is looked at
+    double silenceFactor = 2; ///< the same, as a multiple of the longest of the usual times to an answer
+    double silenceLongestDecay = 0.995; ///< how much of that longest time remains after each answer
+    millis silenceLookPeriod{20}; ///< between two looks
+
     // Routing
     int candidatesOwn = 2; ///< upstreams of the own failure domain that are compared for a call
     int candidatesAll = 2; ///< upstreams of any failure domain that are compared for a call
     millis tripToOtherDomain{2}; ///< cost of a call to another failure domain and back
+    double otherDomainFactor = 1.2; ///< how much better an upstream of another failure domain must be, beyond the trip
     double latencyBlend = 0.1; ///< weight of a new latency among those before
     double successBlend = 0.1; ///< weight of a new outcome among those before
     double successFloor = 0.05; ///< least success share used in a division
     millis refusalPenalty{100}; ///< how long a refusal makes an upstream look worse
+    millis unreachablePenalty{1000}; ///< how long a node that was not reached comes after all others
     int reroutes = 2; ///< how often a call that was not run may be sent elsewhere
 
     // Retries
