Silent connections are found and replaced; own failure domain first; siblings of a lost call stop

Cause: a call on an upstream connection that had gone silent was lost at its deadline, a link was replaced after 1.5 s only, which is longer than most deadlines, and noise of latencies sent nearly half of all calls to other failure domains. Links: a sign of life after 150 ms, replaced after 500 ms, first answer within 400 ms. Call-Needed: when a needed call is given up, the other calls of its parent are cancelled. The pool is swept when its size changes, not each 5 ms.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -77,6 +77,7 @@
             return;
         }
         call.context = *context;
+        call.needed = description.needed;
         if (description.timeout) {
             call.context.deadline = std::min(call.context.deadline, now + *description.timeout);
         }
@@ -311,6 +312,30 @@
         m_metrics.added(call.service, call.rank, now - call.since - millis{call.answer->upstream_ms()});
     }
     call.exchange->respond(response);
+    if (action.finalFailure && call.needed) {
+        giveUp(m_ledger.doom(call.parent));
+    }
+}
+
+/// Gives up calls that were made for a call that has ended or will fail.
+void call_path::giveUp(const std::vector<call_id> &children)
+{
+    std::vector<entry_action> abandoned;
+    for (const auto child : children) {
+        const auto found = m_entering.find(child);
+        if (found == m_entering.end()) {
+            continue;
+        }
+        const entering_call call = std::move(found->second);
+        m_entering.erase(found);
+        const millis now = monotonicNow();
+        m_entry.abandon(child, now, abandoned);
+        // What it was granted may have been used.
+        m_ledger.childEnded(call.parent, child, call.context.retries, true, now);
+        m_metrics.answered(call.service, call.rank, call_outcome::unknown, refusal_reason::cancelled, now - call.since);
+        call.exchange->respond(refusalResponse(refusal_reason::cancelled, call_outcome::unknown, {}));
+    }
+    act(abandoned);
 }
 
 http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail)
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -33,6 +33,7 @@
     , m_serving(settings.tuning, settings.mode)
     , m_once(loop, m_self, seed, m_peers.once)
     , m_pool(loop, {}, [this](call_id id, http_outcome outcome) { ran(id, std::move(outcome)); })
+    , m_silence(settings.tuning)
     , m_suspects(suspects_tunables{})
     , m_tick(loop.every(tickPeriod, [this] { tick(); }))
 {
@@ -55,7 +56,8 @@
     m_said = said;
     m_service = said.service;
     m_serving.announce(said.slots, said.connections, said.cold);
-    m_pool.configure(said.address, wantedConnections(), said.connections);
+    m_connectionsWanted = -1;
+    openConnections();
     if (isNew) {
         logEvent(log_level::info,
                  "upstream_announced",
@@ -69,10 +71,21 @@
     applyDrain();
 }
 
+/// Keeps as many connections to the upstream open as its limit asks for.
+void call_path::openConnections()
+{
+    const int wanted = wantedConnections();
+    if (!m_service.empty() && wanted != m_connectionsWanted) {
+        m_connectionsWanted = wanted;
+        m_pool.configure(m_said.address, wanted, m_said.connections);
+    }
+}
+
 void call_path::upstreamGone()
 {
     m_service.clear();
     m_pool.release();
+    m_connectionsWanted = -1;
     std::vector<serving_action> actions;
     m_serving.setDraining(true, monotonicNow(), actions);
     act(actions);
@@ -122,6 +135,7 @@
     glance.level = m_serving.level();
     glance.connections = m_pool.openCount();
     glance.retries = m_entry.retriesSpent();
+    glance.silent = m_silentCalls;
     glance.draining = m_serving.draining();
     return glance;
 }
@@ -141,9 +155,8 @@
         m_peers.tellSuspicions(news);
     }
     offerNextSuspect();
-    if (!m_service.empty()) {
-        m_pool.configure(m_said.address, wantedConnections(), m_said.connections);
-    }
+    replaceSilent();
+    openConnections();
 }
 
 } // namespace turmericspar
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -13,6 +13,7 @@
 #include "turmericspar/policy/entry.h"
 #include "turmericspar/policy/routing.h"
 #include "turmericspar/policy/serving.h"
+#include "turmericspar/policy/silence.h"
 #include "turmericspar/policy/suspects.h"
 #include "turmericspar/upstream/announcement.h"
 #include "turmericspar/upstream/upstream_pool.h"
@@ -46,6 +47,7 @@
     double level = 0;
     std::size_t connections = 0;
     std::uint64_t retries = 0;
+    std::uint64_t silent = 0;
     bool draining = false;
 };
 
@@ -108,6 +110,7 @@
         std::string klass;
         int rank = 0;
         call_id parent = 0; ///< the call running at the upstream for which this one is made
+        bool needed = false; ///< whether that call fails without this one
         call_context context;
         millis since;
         std::unique_ptr<wire::CallReply> answer;
@@ -151,6 +154,7 @@
     void act(const std::vector<serving_action> &actions);
     void forward(const entry_action &action);
     void finish(const entry_action &action);
+    void giveUp(const std::vector<call_id> &children);
     http_response refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail);
     void stamp(http_response &response, call_outcome outcome);
     void serve(served_origin origin, call_context context, http_request request);
@@ -158,7 +162,9 @@
     void ran(call_id id, http_outcome outcome);
     void endServed(call_id id, wire::CallReply reply, key_note note);
     void refuseServed(call_id id, refusal_reason reason);
-    void cancelServed(call_id id);
+    void cancelServed(call_id id, refusal_reason reason);
+    void replaceSilent();
+    void openConnections();
     void answerOrigin(const served_origin &origin, wire::CallReply &&reply);
     void tellState(const std::string &klass, wire::CallReply &reply);
     void tick();
@@ -180,10 +186,12 @@
     call_metrics m_metrics;
     once_guard m_once;
     upstream_pool m_pool;
+    silence_watch m_silence;
     suspects m_suspects;
     std::deque<call_id> m_suspectsWaiting;
     call_id m_suspectOffered = 0; ///< the one suspect that waits for or runs at the upstream; 0 if there is none
     call_id m_nextCall = 1;
+    std::uint64_t m_silentCalls = 0;
     std::unordered_map<call_id, entering_call> m_entering;
     std::unordered_map<call_id, served_call> m_served;
     std::map<std::pair<link_identity, call_id>, call_id> m_servedByOrigin;
@@ -192,6 +200,7 @@
     announcement m_said;
     bool m_drainOrdered = false;
     bool m_shuttingDown = false;
+    int m_connectionsWanted = -1;
     watch_ptr m_tick;
 };
 
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -3,6 +3,7 @@
 #include "call_path.h"
 
 #include "node.pb.h"
+#include "turmericspar/base/log.h"
 #include "turmericspar/node/wire.h"
 
 #include <charconv>
@@ -124,7 +125,7 @@
             refuseServed(action.id, action.reason);
             break;
         case serving_action::verb::cancel:
-            cancelServed(action.id);
+            cancelServed(action.id, action.reason);
             break;
         }
     }
@@ -150,6 +151,8 @@
     request.fields.set(field::rank, std::to_string(call.context.place.rank));
     const bool passThrough = m_settings.mode == policy_mode::none;
     const millis linger = call.context.onceKey.empty() ? millis{0} : keyedLinger;
+    // A call that may not be repeated keeps its connection as long as its caller waits.
+    m_silence.sent(id, call.context.intent == call_intent::once ? call.context.deadline : millis{0}, now);
     m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}) + linger);
 }
 
@@ -248,19 +251,11 @@
 
     // Step 1. The calls that it made and that still run are of no use any more
     const auto summary = m_ledger.close(id, now);
-    std::vector<entry_action> abandoned;
-    for (const auto child : summary.unfinished) {
-        const auto entering = m_entering.find(child);
-        if (entering != m_entering.end()) {
-            m_entry.abandon(child, now, abandoned);
-            entering->second.exchange->respond(refusalResponse(refusal_reason::cancelled, call_outcome::unknown, {}));
-            m_entering.erase(entering);
-        }
-    }
-    act(abandoned);
+    giveUp(summary.unfinished);
 
     // Step 2. What it taught
     const auto outcome = static_cast<call_outcome>(reply.outcome());
+    m_silence.ended(id, outcome == call_outcome::ran, now);
     run_report report;
     report.ownTime = now - call.startedAt - summary.waited;
     report.answered = outcome == call_outcome::ran;
@@ -296,13 +291,31 @@
     answerOrigin(call.origin, std::move(reply));
 }
 
+/// Ends calls whose connections went silent, and replaces the connections that may have suffered the same.
+void call_path::replaceSilent()
+{
+    if (m_settings.mode != policy_mode::full) {
+        return;
+    }
+    for (const auto id : m_silence.takeSilent(monotonicNow())) {
+        const auto found = m_served.find(id);
+        if (found == m_served.end()) {
+            continue;
+        }
+        ++m_silentCalls;
+        logEvent(log_level::warning, "upstream_connection_silent", {{"service", m_service}, {"peer", m_said.address.text()}});
+        m_pool.renewIdle(found->second.startedAt);
+        cancelServed(id, refusal_reason::broken);
+    }
+}
+
 /// Ends the run of a call that was given up: its connection is closed, which tells the upstream.
-void call_path::cancelServed(call_id id)
+void call_path::cancelServed(call_id id, refusal_reason reason)
 {
     m_pool.cancel(id);
     wire::CallReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
-    reply.set_reason(static_cast<std::uint32_t>(refusal_reason::cancelled));
+    reply.set_reason(static_cast<std::uint32_t>(reason));
     endServed(id, std::move(reply), key_note::ended);
 }
 
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -123,7 +123,7 @@
 
 node_daemon::node_daemon(const node_settings &settings, const key_ring &keys)
     : m_settings(settings)
-    , m_self(settings.nodes.text())
+    , m_self(settings.advertised.text())
     , m_seed(settings.seed != 0 ? settings.seed : randomSeed())
     , m_incarnation(randomSeed())
     , m_control(m_loop,
@@ -443,6 +443,7 @@
     metrics.gauge("turmericspar_waiting", "Calls in the queue", static_cast<double>(calls.waiting));
     metrics.gauge("turmericspar_shed_level", "Importance below which new requests are refused", calls.level);
     metrics.gauge("turmericspar_retries", "Retries spent since the start", static_cast<double>(calls.retries));
+    metrics.gauge("turmericspar_silent_calls", "Calls whose upstream connection went silent, since the start", static_cast<double>(calls.silent));
     metrics.gauge("turmericspar_config_version", "Configuration version in force", static_cast<double>(m_control.versions().version()));
     metrics.gauge("turmericspar_members", "Live members known", static_cast<double>(m_control.members().liveCount()));
     metrics.gauge("turmericspar_store_calls", "Calls to the platform's store since the start", static_cast<double>(m_control.storeCalls()));
--- a/packages/caller/include/turmericspar/caller/call_fields.h
+++ b/packages/caller/include/turmericspar/caller/call_fields.h
@@ -17,6 +17,7 @@
 inline constexpr const char *deadline = "Call-Timeout-Ms";
 inline constexpr const char *context = "Call-Context";
 inline constexpr const char *intent = "Call-Intent";
+inline constexpr const char *needed = "Call-Needed";
 inline constexpr const char *requestId = "X-Request-Id";
 inline constexpr const char *priority = "Priority";
 inline constexpr const char *idempotencyKey = "Idempotency-Key";
@@ -42,6 +43,7 @@
     std::optional<millis> timeout; ///< if the caller names one
     millis classDeadline; ///< of the class
     call_intent intent = call_intent::repeatable;
+    bool needed = false; ///< whether the call for which this one is made fails without it
     bool firstAttempt = false; ///< whether the caller declares that it has not sent this request before
 };
 
--- a/packages/caller/src/call_fields.cpp
+++ b/packages/caller/src/call_fields.cpp
@@ -102,6 +102,7 @@
     }
 
     call.firstAttempt = request.fields.get(field::attempt) == "1";
+    call.needed = request.fields.get(field::needed) == "1";
 
     // Step 4. Whether it may be repeated
     call.intent = readIntent(request, declared, call.service, mistake);
--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -57,9 +57,9 @@
 struct link_options
 {
     endpoint listen;
-    millis heartbeat{500}; ///< without any message while answers are due, a sign of life is asked for
-    millis silence{1500}; ///< without any message for so long while answers are due, a link is replaced
-    millis welcomeTimeout{1000}; ///< for the first answer of a node
+    millis heartbeat{150}; ///< without any message while answers are due, a sign of life is asked for
+    millis silence{500}; ///< without any message for so long while answers are due, a link is replaced
+    millis welcomeTimeout{400}; ///< for the first answer of a node
     millis idleTimeout{10'000}; ///< a link that is not used for so long is closed
     std::size_t queuedMax = 10'000; ///< calls that wait for the first answer of a node
     int messagesMax = 10'000; ///< messages that wait in a socket, each way
--- a/packages/policy/include/turmericspar/policy/chain_ledger.h
+++ b/packages/policy/include/turmericspar/policy/chain_ledger.h
@@ -28,12 +28,16 @@
     void open(call_id parent, const call_context &context);
 
     /// Adds a call made for a running one.
-    /// @return the context of the new call, with the retries granted to it; nothing if the parent does not run
+    /// @return the context of the new call, with the retries granted to it; nothing if the parent does not run or is doomed
     std::optional<call_context> addChild(call_id parent, call_id child, millis now);
 
     /// Ends a call made for a running one and takes back the retries that it did not use.
     void childEnded(call_id parent, call_id child, int retriesUsed, bool finalFailure, millis now);
 
+    /// Notes that a call will fail whatever its other calls bring; it is given no further ones.
+    /// @return its calls that still run, and are of no use any more
+    std::vector<call_id> doom(call_id parent);
+
     /// Ends the account.
     chain_summary close(call_id parent, millis now);
 
@@ -48,6 +52,7 @@
         int left = 0;
         int used = 0;
         bool finalFailure = false;
+        bool doomed = false;
         millis waited{0};
         millis waitingSince{0};
         std::unordered_map<call_id, int> grants;
--- a/packages/policy/include/turmericspar/policy/routing.h
+++ b/packages/policy/include/turmericspar/policy/routing.h
@@ -25,6 +25,7 @@
     bool refused = false; ///< whether it was refused for overload
     int limit = 0; ///< the upstream's concurrency limit; 0 if not told
     int pending = 0; ///< calls that run or wait there
+    bool unreached = false; ///< whether it could not be reached, or was lost meanwhile
 };
 
 /// The upstreams of all services that this node knows, each with what is known of it.
@@ -70,6 +71,7 @@
         millis latency{0};
         double success = 1;
         millis refusedAt{-1e12};
+        millis unreachedAt{-1e12};
     };
     struct service_upstreams
     {
--- a/packages/policy/src/chain_ledger.cpp
+++ b/packages/policy/src/chain_ledger.cpp
@@ -15,7 +15,7 @@
 std::optional<call_context> chain_ledger::addChild(call_id parent, call_id child, millis now)
 {
     const auto found = m_accounts.find(parent);
-    if (found == m_accounts.end()) {
+    if (found == m_accounts.end() || found->second.doomed) {
         return std::nullopt;
     }
     auto &account = found->second;
@@ -53,6 +53,20 @@
     }
 }
 
+std::vector<call_id> chain_ledger::doom(call_id parent)
+{
+    std::vector<call_id> useless;
+    const auto found = m_accounts.find(parent);
+    if (found == m_accounts.end()) {
+        return useless;
+    }
+    found->second.doomed = true;
+    for (const auto &[child, grant] : found->second.grants) {
+        useless.push_back(child);
+    }
+    return useless;
+}
+
 chain_summary chain_ledger::close(call_id parent, millis now)
 {
     chain_summary summary;
--- a/packages/policy/src/entry.cpp
+++ b/packages/policy/src/entry.cpp
@@ -141,6 +141,7 @@
     sample.latency = now - call.sentAt;
     sample.success = result.outcome == call_outcome::ran && !result.serverError;
     sample.refused = result.outcome == call_outcome::not_run;
+    sample.unreached = result.reason == refusal_reason::unreachable;
     sample.limit = result.limit;
     sample.pending = result.pending;
     m_routes.done(call.node, true, sample, now);
--- a/packages/policy/src/routing.cpp
+++ b/packages/policy/src/routing.cpp
@@ -11,6 +11,9 @@
     return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
+/// How much worse an upstream looks whose node was not reached.
+constexpr double unreachedFactor = 1000;
+
 /// Moves an average towards a new value; the first value is taken whole.
 void follow(millis &average, millis value, double blend)
 {
@@ -65,11 +68,14 @@
 {
     const double pending = std::max(upstream.pendingTold, upstream.outstanding) + 1;
     const double crowding = upstream.limit > 0 ? pending / upstream.limit : pending;
-    const double trip = upstream.domain == m_ownDomain ? 0 : m_tuning.tripToOtherDomain.count;
+    const bool isOwn = upstream.domain == m_ownDomain;
+    const double trip = isOwn ? 0 : m_tuning.tripToOtherDomain.count;
+    const double distance = isOwn ? 1 : m_tuning.otherDomainFactor;
     const millis usual = upstream.latency.count > 0 ? upstream.latency : upstream.siblings->latency;
     const double latency = std::max(usual.count, 1.0) * (1 + crowding) / std::max(upstream.success, m_tuning.successFloor);
     const bool refusedLately = now - upstream.refusedAt < m_tuning.refusalPenalty;
-    return latency * (refusedLately ? 2 : 1) + trip;
+    const bool unreachedLately = now - upstream.unreachedAt < m_tuning.unreachablePenalty;
+    return latency * distance * (refusedLately ? 2 : 1) * (unreachedLately ? unreachedFactor : 1) + trip;
 }
 
 routing::upstream_state *routing::better(upstream_state *left, upstream_state *right, millis now) const
@@ -149,6 +155,9 @@
     if (!answered) {
         return;
     }
+    if (sample.unreached) {
+        upstream.unreachedAt = now;
+    }
     if (sample.limit > 0) {
         upstream.limit = sample.limit;
         upstream.pendingTold = sample.pending;
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -214,4 +214,19 @@
     RC_ASSERT(toBad < 60);
 }
 
+TEST(chain_ledger, a_doomed_call_loses_its_other_calls_and_gets_no_more)
+{
+    chain_ledger ledger;
+    call_context root;
+    root.retries = 4;
+    ledger.open(1, root);
+    ASSERT_TRUE(ledger.addChild(1, 2, {}));
+    ASSERT_TRUE(ledger.addChild(1, 3, {}));
+    ledger.childEnded(1, 2, 0, true, {5});
+    EXPECT_EQ(ledger.doom(1), std::vector<call_id>{3});
+    EXPECT_FALSE(ledger.addChild(1, 4, {6})) << "work for a request that fails is wasted";
+    EXPECT_TRUE(ledger.close(1, {7}).finalFailure);
+    EXPECT_TRUE(ledger.doom(1).empty()) << "a call that has ended has nothing left to lose";
+}
+
 } // namespace
--- a/packages/upstream/include/turmericspar/upstream/upstream_pool.h
+++ b/packages/upstream/include/turmericspar/upstream/upstream_pool.h
@@ -37,6 +37,8 @@
 
     /// Sends a call; the pool answers exactly once, unless the call is cancelled.
     void run(call_id id, const http_request &request, millis timeout);
+    /// Replaces the idle connections on which nothing was heard since a time: what lost one of them may have lost them all.
+    void renewIdle(millis heardBefore);
     /// Ends a call's connection, which is how an upstream learns of a cancellation.
     void cancel(call_id id);
 
@@ -45,6 +47,12 @@
 private:
     using client_ptr = std::unique_ptr<http_client>;
 
+    struct idle_client
+    {
+        client_ptr client;
+        millis heardAt;
+    };
+
     void openAhead();
     client_ptr takeOpen();
     client_ptr makeClient();
@@ -57,7 +65,7 @@
     endpoint m_address;
     int m_wanted = 0;
     int m_most = 0;
-    std::vector<client_ptr> m_idle;
+    std::vector<idle_client> m_idle;
     std::unordered_map<http_client *, client_ptr> m_opening;
     std::unordered_map<call_id, client_ptr> m_busy;
     watch_ptr m_retry;
--- a/packages/upstream/src/upstream_pool.cpp
+++ b/packages/upstream/src/upstream_pool.cpp
@@ -41,7 +41,7 @@
 /// Opens connections up to the wanted number, a few at a time.
 void upstream_pool::openAhead()
 {
-    std::erase_if(m_idle, [](const client_ptr &client) { return client->closed(); });
+    std::erase_if(m_idle, [](const idle_client &idle) { return idle.client->closed(); });
     auto total = static_cast<int>(m_idle.size() + m_busy.size() + m_opening.size());
     while (total < m_wanted && static_cast<int>(m_opening.size()) < m_options.openAtOnce) {
         auto made = makeClient();
@@ -62,7 +62,7 @@
     auto client = std::move(found->second);
     m_opening.erase(found);
     if (client->open()) {
-        m_idle.push_back(std::move(client));
+        m_idle.push_back({std::move(client), monotonicNow()});
         openAhead();
     }
 }
@@ -70,7 +70,7 @@
 upstream_pool::client_ptr upstream_pool::takeOpen()
 {
     while (!m_idle.empty()) {
-        auto client = std::move(m_idle.back());
+        auto client = std::move(m_idle.back().client);
         m_idle.pop_back();
         if (client->open()) {
             return client;
@@ -96,11 +96,17 @@
     auto client = std::move(found->second);
     m_busy.erase(found);
     if (client->open() && static_cast<int>(m_idle.size() + m_busy.size()) < m_most && m_wanted > 0) {
-        m_idle.push_back(std::move(client));
+        m_idle.push_back({std::move(client), monotonicNow()});
     }
     m_onDone(id, std::move(outcome));
 }
 
+void upstream_pool::renewIdle(millis heardBefore)
+{
+    std::erase_if(m_idle, [&](const idle_client &idle) { return idle.heardAt < heardBefore; });
+    openAhead();
+}
+
 void upstream_pool::cancel(call_id id)
 {
     m_busy.erase(id);
