A death is known everywhere within two seconds: a neighbour on a ring is probed every other period

Cause: with random probes alone the first to notice a death takes 1.6 periods on average with a long tail; suspicion was looked at once a period only, and the suspect heard of it by chance. Change: every other period probes the next live member on a ring of hashes; period 500 -> 300 ms; suspects are looked at each tick, told at once that they are suspected, and their refutation and their death are spread at once, to 4 members instead of 3.

--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,19 +67,20 @@
 /// Numbers of the protocol.
 struct membership_tunables
 {
-    millis period{500}; ///< between two probes
+    millis period{300}; ///< between two probes
     millis probeTimeout{150}; ///< for a direct answer
     int indirectProbes = 3; ///< members asked to probe in turn
     double suspicionPeriods = 2; ///< periods for which a suspect may refute
     int newsPerMessage = 4;
     double newsFactor = 2; ///< each news item is sent this factor times log2 of the members
     millis deadKept{600'000}; ///< how long the dead are remembered
+    std::uint64_t forgetEvery = 100; ///< periods between two looks for members to be forgotten
     int seedProbesEvery = 20; ///< periods between two probes of a seed or a dead member, so that partitions heal
     millis settleTime{5000}; ///< quiet time after which two tables should be the same
     millis youth{10'000}; ///< time after the first message for which a node fetches tables more often
     millis youngSyncInterval{1000}; ///< least time between two fetches then
     millis syncInterval{10'000}; ///< least time between two fetches of a whole table
-    int eagerFanout = 3; ///< members told at once of important news
+    int eagerFanout = 4; ///< members told at once of important news
 };
 
 /// The member table of one node and its part in the protocol. It knows no socket and no clock.
@@ -145,16 +147,18 @@
     void replace(member &known, const member &told, spreading how, millis now);
     void considerSync(const gossip_message &message, millis now);
     void reviseSelf(std::uint32_t revision);
-    void learnAboutSelf(const member &told);
+    bool learnAboutSelf(const member &told);
     void queueNews(const node_id &node);
-    void suspect(const node_id &node, millis now);
+    void suspect(const node_id &node, millis now, std::vector<addressed_gossip> &out);
     void startProbe(millis now, std::vector<addressed_gossip> &out);
     void checkProbe(millis now, std::vector<addressed_gossip> &out);
-    void expireSuspects(millis now);
+    void expireSuspects(millis now, std::vector<addressed_gossip> &out);
+    void forgetGone(millis now);
     void probeLost(std::vector<addressed_gossip> &out);
     std::vector<node_id> randomLive(std::size_t count, const node_id &except);
     void tellAtOnce(std::vector<addressed_gossip> &out);
     node_id nextTarget();
+    node_id nextOnRing() const;
 
     const membership_tunables m_tuning;
     member m_self;
@@ -162,6 +166,7 @@
     std::vector<node_id> m_seeds;
     std::map<node_id, member> m_members; ///< without this node
     std::unordered_map<node_id, millis> m_stateSince;
+    std::set<node_id> m_suspected;
     std::vector<pending_news> m_news;
     std::vector<node_id> m_probeOrder;
     std::vector<node_id> m_changed;
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -140,7 +140,8 @@
     m_changed.push_back(node);
 }
 
-void membership::learnAboutSelf(const member &told)
+/// @return whether this node contradicts what is told of it; others should hear that at once.
+bool membership::learnAboutSelf(const member &told)
 {
     if (told.incarnation > m_self.incarnation) {
         // An earlier life under this address counted higher, by a clock that was ahead.
@@ -148,21 +149,22 @@
         m_self.incarnation = told.incarnation + 1;
         m_digest ^= digestOf(m_self);
         queueNews(m_self.node);
-        return;
+        return true;
     }
     const bool outdated = told.incarnation == m_self.incarnation && told.revision >= m_self.revision && told.state != m_self.state;
-    if (outdated && m_self.state == member_state::alive) {
-        // Others hold this node for suspect or dead: a later revision refutes it.
-        reviseSelf(told.revision);
-        queueNews(m_self.node);
+    if (!outdated || m_self.state != member_state::alive) {
+        return false;
     }
+    // Others hold this node for suspect or dead: a later revision refutes it.
+    reviseSelf(told.revision);
+    queueNews(m_self.node);
+    return true;
 }
 
 bool membership::learn(const member &told, spreading how, millis now)
 {
     if (told.node == m_self.node) {
-        learnAboutSelf(told);
-        return false;
+        return learnAboutSelf(told);
     }
     const auto known = m_members.find(told.node);
     if (known == m_members.end()) {
@@ -186,6 +188,9 @@
     if (told.state != known.state || !m_stateSince.contains(told.node)) {
         m_stateSince[told.node] = now;
     }
+    if (told.state == member_state::suspect) {
+        m_suspected.insert(told.node);
+    }
     const auto version = std::max(told.version, known.version);
     m_digest ^= digestOf(known);
     known = told;
@@ -277,25 +282,30 @@
 void membership::tick(millis now, std::vector<addressed_gossip> &out)
 {
     checkProbe(now, out);
+    expireSuspects(now, out);
     if (now < m_nextPeriod) {
         return;
     }
     m_nextPeriod = now + m_tuning.period;
     ++m_periods;
     if (m_probe.sequence != 0) {
-        suspect(m_probe.target, now);
+        suspect(m_probe.target, now, out);
         m_probe = {};
     }
-    expireSuspects(now);
     std::erase_if(m_relayed, [&](const auto &entry) { return now - entry.second.at > m_tuning.period; });
     startProbe(now, out);
+    if (m_periods % m_tuning.forgetEvery == 0) {
+        forgetGone(now);
+    }
     probeLost(out);
 }
 
 /// Sends the probe of this period.
 void membership::startProbe(millis now, std::vector<addressed_gossip> &out)
 {
-    const node_id target = nextTarget();
+    // Every other period belongs to the neighbour, so that a death never waits long for the first to notice it.
+    const node_id neighbour = m_periods % 2 == 0 ? nextOnRing() : node_id();
+    const node_id target = neighbour.empty() ? nextTarget() : neighbour;
     if (target.empty()) {
         return;
     }
@@ -317,7 +327,23 @@
     }
 }
 
-/// @return the next member to be probed; each is probed once in a round, in random order.
+/// @return the member whose hash follows this node's on a ring of all that are alive.
+node_id membership::nextOnRing() const
+{
+    const auto own = stableHash(m_self.node);
+    const node_id *nearest = nullptr;
+    std::uint64_t least = 0;
+    for (const auto &[node, entry] : m_members) {
+        const std::uint64_t distance = stableHash(node) - own;
+        if (entry.state == member_state::alive && (!nearest || distance < least)) {
+            nearest = &node;
+            least = distance;
+        }
+    }
+    return nearest ? *nearest : node_id();
+}
+
+/// @return the next member to be probed in random order; each is probed once in a round.
 node_id membership::nextTarget()
 {
     for (int round = 0; round < 2; ++round) {
@@ -339,7 +365,7 @@
     return {};
 }
 
-void membership::suspect(const node_id &node, millis now)
+void membership::suspect(const node_id &node, millis now, std::vector<addressed_gossip> &out)
 {
     const auto found = m_members.find(node);
     if (found == m_members.end() || found->second.state != member_state::alive) {
@@ -348,26 +374,47 @@
     member suspected = found->second;
     suspected.state = member_state::suspect;
     replace(found->second, suspected, spreading::as_news, now);
+    // If it lives it learns of this at once, and refutes it.
+    out.push_back({node, compose(gossip_kind::news, 0, node)});
 }
 
-void membership::expireSuspects(millis now)
+/// Holds suspects for dead that did not refute in time, and tells that at once.
+void membership::expireSuspects(millis now, std::vector<addressed_gossip> &out)
 {
-    for (auto it = m_members.begin(); it != m_members.end();) {
-        auto &[node, entry] = *it;
-        const millis since = now - m_stateSince[node];
-        if (entry.state == member_state::suspect && since > m_tuning.period * m_tuning.suspicionPeriods) {
-            member dead = entry;
-            dead.state = member_state::dead;
-            replace(entry, dead, spreading::as_news, now);
-        }
-        if (!isLive(entry) && since > m_tuning.deadKept) {
-            m_stateSince.erase(node);
-            m_changed.push_back(node);
-            it = m_members.erase(it);
-        } else {
+    bool died = false;
+    for (auto it = m_suspected.begin(); it != m_suspected.end();) {
+        const auto found = m_members.find(*it);
+        const bool suspected = found != m_members.end() && found->second.state == member_state::suspect;
+        const bool lapsed = suspected && now - m_stateSince[*it] >= m_tuning.period * m_tuning.suspicionPeriods;
+        if (suspected && !lapsed) {
             ++it;
+            continue;
+        }
+        it = m_suspected.erase(it);
+        if (lapsed) {
+            member dead = found->second;
+            dead.state = member_state::dead;
+            replace(found->second, dead, spreading::as_news, now);
+            died = true;
         }
     }
+    if (died) {
+        tellAtOnce(out);
+    }
+}
+
+/// Forgets members that went long ago.
+void membership::forgetGone(millis now)
+{
+    std::erase_if(m_members, [&](const auto &known) {
+        const auto &[node, entry] = known;
+        if (isLive(entry) || now - m_stateSince[node] <= m_tuning.deadKept) {
+            return false;
+        }
+        m_stateSince.erase(node);
+        m_changed.push_back(node);
+        return true;
+    });
 }
 
 /// Now and then asks a seed or a member held for dead, so that the two sides of a partition find each other again.
--- a/packages/policy/tests/membership_test.cpp
+++ b/packages/policy/tests/membership_test.cpp
@@ -158,6 +158,35 @@
     }
 }
 
+TEST(membership, a_death_is_known_everywhere_within_two_seconds)
+{
+    gossip_net net(60);
+    net.run({30'000});
+    for (int victim = 5; victim < 50; victim += 5) {
+        net.stop(victim);
+        net.run({2000});
+        for (const auto &[id, node] : net.nodes) {
+            EXPECT_EQ(node->find(gossip_net::name(victim))->state, member_state::dead) << victim << " at " << id;
+        }
+    }
+}
+
+TEST(membership, a_member_that_is_slow_for_half_a_second_is_not_given_up)
+{
+    gossip_net net(30);
+    net.run({30'000});
+    const auto slow = gossip_net::name(7);
+    net.cut = [&](const node_id &from, const node_id &to) { return from == slow || to == slow; };
+    net.run({500});
+    net.cut = nullptr;
+    for (int step = 0; step < 100; ++step) {
+        net.run({50});
+        for (const auto &[id, node] : net.nodes) {
+            ASSERT_TRUE(id == slow || isLive(*node->find(slow))) << id;
+        }
+    }
+}
+
 TEST(membership, a_member_that_says_goodbye_is_left_at_once)
 {
     gossip_net net(20);
