--- a/apps/turmericsparctl/commands.cpp
+++ b/apps/turmericsparctl/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "fleet_view.h"
+
 #include "turmericspar/base/command_line.h"
 #include "turmericspar/base/secret.h"
 #include "turmericspar/policy/configuration.h"
@@ -22,47 +24,6 @@
 constexpr int resubmissions = 5;
 constexpr auto resubmitPause = std::chrono::milliseconds(500);
 
-/// What a command works with.
-struct command_context
-{
-    const command_arguments &arguments;
-    const node_client &node;
-    bool asJson = false;
-
-    bool flag(const std::string &name) const { return arguments.at(name).asBool(); }
-    std::string text(const std::string &name, const std::string &fallback = {}) const
-    {
-        const auto &value = arguments.at(name);
-        return value ? value.asString() : fallback;
-    }
-};
-
-exit_code complain(const std::string &text, exit_code code = exit_code::failed)
-{
-    std::cerr << "turmericsparctl: " << text << '\n';
-    return code;
-}
-
-/// Prints rows in columns that line up.
-void printTable(const std::vector<std::vector<std::string>> &rows)
-{
-    std::vector<std::size_t> widths;
-    for (const auto &row : rows) {
-        widths.resize(std::max(widths.size(), row.size()));
-        for (std::size_t i = 0; i < row.size(); ++i) {
-            widths[i] = std::max(widths[i], row[i].size());
-        }
-    }
-    for (const auto &row : rows) {
-        std::string line;
-        for (std::size_t i = 0; i < row.size(); ++i) {
-            line += fmt::format("{:<{}}  ", row[i], widths[i]);
-        }
-        line.erase(line.find_last_not_of(' ') + 1);
-        std::cout << line << '\n';
-    }
-}
-
 /// Asks a node and hands a good answer on.
 template<class handler>
 exit_code ask(const command_context &context, const std::string &target, handler print)
@@ -341,7 +302,9 @@
                                       {"config", "watch", configWatch},
                                       {"", "status", status},
                                       {"", "upstreams", upstreams},
-                                      {"", "drain", drain}};
+                                      {"", "drain", drain},
+                                      {"", "top", top},
+                                      {"", "explain", explain}};
 
 } // namespace
 
--- a/apps/turmericsparctl/main.cpp
+++ b/apps/turmericsparctl/main.cpp
@@ -26,6 +26,8 @@
   turmericsparctl [options] status
   turmericsparctl [options] upstreams
   turmericsparctl [options] drain [--undo]
+  turmericsparctl [options] top [--once] [--interval-ms=N]
+  turmericsparctl [options] explain REQUEST
   turmericsparctl --help
 
 Options:
@@ -41,6 +43,8 @@
   --submission=ID   The id of an earlier try whose answer was lost.
   --version=N       The version to watch; else the newest that the node knows.
   --wait-ms=N       How long to watch. [default: 10000]
+  --once            Print one view and end.
+  --interval-ms=N   Between two views. [default: 2000]
   --undo            Let the upstream take work again.
 
 Exit codes: 0 done; 1 failed; 2 usage; 3 conflict with the present version; 4 the document would not be sound;
--- a/apps/turmericsparctl/node_client.h
+++ b/apps/turmericsparctl/node_client.h
@@ -27,6 +27,8 @@
 
     /// Sends a request and waits for its JSON answer.
     result<node_answer> get(const std::string &target) const;
+    /// @return a client for another node, with the same token.
+    node_client at(const endpoint &other) const { return {other, m_token, m_timeout}; }
     result<node_answer> post(const std::string &target, const nlohmann::json &body) const;
 
 private:
--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -28,23 +28,28 @@
     std::optional<call_mistake> mistake;
     const auto description = describeCall(exchange->request(), m_peers.declared(), mistake);
     const bool known = m_routes.knows(description.service) || m_peers.declared().services.contains(description.service);
-    const auto label = known ? description.service : "unknown";
     if (mistake) {
-        refuseAtOnce(exchange, label, 0, mistake->reason, mistake->detail);
+        refuseAtOnce(exchange, description, mistake->reason, mistake->detail);
     } else if (m_shuttingDown && description.parent.empty()) {
-        refuseAtOnce(exchange, label, description.rank, refusal_reason::shutting_down, "this node is shutting down");
+        refuseAtOnce(exchange, description, refusal_reason::shutting_down, "this node is shutting down");
     } else if (m_suspects.level(digestOf(exchange->request()), wallNow()) == suspicion_level::convicted) {
-        refuseAtOnce(exchange, label, description.rank, refusal_reason::suspect, "upstreams crashed when they ran this request");
+        refuseAtOnce(exchange, description, refusal_reason::suspect, "upstreams crashed when they ran this request");
     } else if (!known) {
-        refuseAtOnce(exchange, label, description.rank, refusal_reason::unknown_service, "no upstream ever announced this service");
+        refuseAtOnce(exchange, description, refusal_reason::unknown_service, "no upstream ever announced this service");
     } else {
         enter(exchange, description);
     }
 }
 
-void call_path::refuseAtOnce(const http_exchange_ptr &exchange, const std::string &service, int rank, refusal_reason reason, const std::string &detail)
+void call_path::refuseAtOnce(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail)
 {
-    m_metrics.answered(service, rank, call_outcome::not_run, reason, {0});
+    entering_call refused;
+    // Names that nobody declared must not become labels without bound.
+    refused.service = m_routes.knows(description.service) ? description.service : "unknown";
+    refused.context.root = description.requestId;
+    refused.rank = description.rank;
+    refused.since = monotonicNow();
+    noteEntered(refused, call_outcome::not_run, reason);
     exchange->respond(refusalResponse(reason, call_outcome::not_run, detail));
 }
 
@@ -73,7 +78,7 @@
         call.parent = parentOf(description.parent);
         auto context = m_ledger.addChild(call.parent, id, now);
         if (!context) {
-            refuseAtOnce(exchange, description.service, description.rank, refusal_reason::cancelled, "the call for which this one is made has ended");
+            refuseAtOnce(exchange, description, refusal_reason::cancelled, "the call for which this one is made has ended");
             return;
         }
         call.context = *context;
@@ -93,8 +98,7 @@
         const auto found = m_entering.find(id);
         if (found != m_entering.end()) {
             m_ledger.childEnded(found->second.parent, id, found->second.context.retries, false, monotonicNow());
-            m_metrics.answered(
-                found->second.service, found->second.rank, call_outcome::unknown, refusal_reason::cancelled, monotonicNow() - found->second.since);
+            noteEntered(found->second, call_outcome::unknown, refusal_reason::cancelled);
             m_entering.erase(found);
         }
         act(actions);
@@ -199,7 +203,8 @@
     if (found == m_entering.end()) {
         return;
     }
-    const auto &call = found->second;
+    auto &call = found->second;
+    call.sentTo += (call.sentTo.empty() ? "" : " ") + action.node;
     const auto &request = call.exchange->request();
     call_context context = call.context;
     context.retries = action.retries;
@@ -307,7 +312,7 @@
     if (action.finalFailure) {
         response.fields.set(field::finalFailure, "1");
     }
-    m_metrics.answered(call.service, call.rank, action.outcome, action.reason, now - call.since);
+    noteEntered(call, action.outcome, action.reason);
     if (hasAnswer) {
         m_metrics.added(call.service, call.rank, now - call.since - millis{call.answer->upstream_ms()});
     }
@@ -317,6 +322,30 @@
     }
 }
 
+/// Counts and records the end of a call that entered here.
+void call_path::noteEntered(const entering_call &call, call_outcome outcome, refusal_reason reason)
+{
+    call_record record;
+    record.root = call.context.root;
+    record.service = call.service;
+    record.klass = call.klass;
+    record.nodes = call.sentTo;
+    record.side = call_side::entry;
+    record.outcome = outcome;
+    record.reason = reason;
+    record.rank = call.rank;
+    record.depth = call.context.depth;
+    record.status = call.answer ? static_cast<int>(call.answer->status()) : 0;
+    record.excess = call.context.place.excess;
+    if (reason == refusal_reason::overload) {
+        record.levelThen = m_entry.toldLevel(call.service, call.klass, monotonicNow());
+    }
+    record.endedAt = wallNow();
+    record.span = monotonicNow() - call.since;
+    m_metrics.answered(call.service, call.rank, outcome, reason, record.span);
+    m_records.add(std::move(record));
+}
+
 /// Gives up calls that were made for a call that has ended or will fail.
 void call_path::giveUp(const std::vector<call_id> &children)
 {
@@ -332,7 +361,7 @@
         m_entry.abandon(child, now, abandoned);
         // What it was granted may have been used.
         m_ledger.childEnded(call.parent, child, call.context.retries, true, now);
-        m_metrics.answered(call.service, call.rank, call_outcome::unknown, refusal_reason::cancelled, now - call.since);
+        noteEntered(call, call_outcome::unknown, refusal_reason::cancelled);
         call.exchange->respond(refusalResponse(refusal_reason::cancelled, call_outcome::unknown, {}));
     }
     act(abandoned);
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -136,6 +136,7 @@
     glance.connections = m_pool.openCount();
     glance.retries = m_entry.retriesSpent();
     glance.silent = m_silentCalls;
+    glance.suspects = m_suspects.heldCount(wallNow());
     glance.draining = m_serving.draining();
     return glance;
 }
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "call_metrics.h"
+#include "call_records.h"
 #include "node_settings.h"
 #include "once_guard.h"
 #include "turmericspar/base/event_loop.h"
@@ -48,6 +49,7 @@
     std::size_t connections = 0;
     std::uint64_t retries = 0;
     std::uint64_t silent = 0;
+    std::size_t suspects = 0; ///< requests that are suspected or refused for crashes
     bool draining = false;
 };
 
@@ -71,6 +73,7 @@
     once_guard &onceKeys() { return m_once; }
     const once_guard &onceKeys() const { return m_once; }
     call_metrics &metrics() { return m_metrics; }
+    const call_records &records() const { return m_records; }
 
     // From callers
     void accept(const http_exchange_ptr &exchange);
@@ -113,6 +116,7 @@
         bool needed = false; ///< whether that call fails without this one
         call_context context;
         millis since;
+        std::string sentTo; ///< the nodes to which it was sent, with spaces between
         std::unique_ptr<wire::CallReply> answer;
         watch_ptr recheck; ///< for a resend whose first attempt still runs
     };
@@ -147,7 +151,7 @@
     bool mayBegin(call_id id, const served_call &call);
     void noteKey(const served_call &call, const wire::CallReply &reply);
     void enter(const http_exchange_ptr &exchange, const call_description &description);
-    void refuseAtOnce(const http_exchange_ptr &exchange, const std::string &service, int rank, refusal_reason reason, const std::string &detail);
+    void refuseAtOnce(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
     void offerNextSuspect();
     void act(const std::vector<entry_action> &actions);
@@ -166,6 +170,8 @@
     void replaceSilent();
     void openConnections();
     void answerOrigin(const served_origin &origin, wire::CallReply &&reply);
+    void noteEntered(const entering_call &call, call_outcome outcome, refusal_reason reason);
+    void noteServed(const served_call &call, const wire::CallReply &reply);
     void tellState(const std::string &klass, wire::CallReply &reply);
     void tick();
     call_id parentOf(const std::string &token) const;
@@ -184,6 +190,7 @@
     serving m_serving;
     chain_ledger m_ledger;
     call_metrics m_metrics;
+    call_records m_records;
     once_guard m_once;
     upstream_pool m_pool;
     silence_watch m_silence;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -270,10 +270,33 @@
     reply.set_retries_used(static_cast<std::uint32_t>(summary.retriesUsed));
     reply.set_upstream_ms((now - call.startedAt).count);
     tellState(call.context.klass, reply);
+    noteServed(call, reply);
     answerOrigin(call.origin, std::move(reply));
     act(actions);
 }
 
+/// Records the end of a call at this node's upstream or before it.
+void call_path::noteServed(const served_call &call, const wire::CallReply &reply)
+{
+    const millis now = monotonicNow();
+    call_record record;
+    record.root = call.context.root;
+    record.service = m_service;
+    record.klass = call.context.klass;
+    record.side = call_side::serving;
+    record.outcome = static_cast<call_outcome>(reply.outcome());
+    record.reason = static_cast<refusal_reason>(reply.reason());
+    record.rank = call.context.place.rank;
+    record.depth = call.context.depth;
+    record.status = static_cast<int>(reply.status());
+    record.excess = call.context.place.excess;
+    record.levelThen = m_serving.level();
+    record.endedAt = wallNow();
+    record.waited = (call.startedAt.count > 0 ? call.startedAt : now) - call.since;
+    record.span = now - call.since;
+    m_records.add(std::move(record));
+}
+
 /// Answers a call that was never started.
 void call_path::refuseServed(call_id id, refusal_reason reason)
 {
@@ -288,6 +311,7 @@
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
     reply.set_reason(static_cast<std::uint32_t>(reason));
     tellState(call.context.klass, reply);
+    noteServed(call, reply);
     answerOrigin(call.origin, std::move(reply));
 }
 
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -29,6 +29,7 @@
     member entry;
     entry.node = self;
     entry.name = settings.name;
+    entry.operators = settings.operators.text();
     entry.domain = settings.domain;
     entry.incarnation = static_cast<std::uint64_t>(wallNow().count);
     return entry;
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -34,10 +34,30 @@
     return options;
 }
 
+json recordJson(const call_record &record)
+{
+    return {{"request", record.root},
+            {"service", record.service},
+            {"class", record.klass},
+            {"sent_to", record.nodes},
+            {"side", callSideNames.name(record.side)},
+            {"outcome", outcomeNames.name(record.outcome)},
+            {"reason", refusalNames.name(record.reason)},
+            {"rank", record.rank},
+            {"depth", record.depth},
+            {"status", record.status},
+            {"above_limit", record.excess},
+            {"shed_level", record.levelThen},
+            {"ended_at_ms", record.endedAt.count},
+            {"waited_ms", record.waited.count},
+            {"span_ms", record.span.count}};
+}
+
 json memberJson(const member &entry)
 {
     return {{"node", entry.node},
             {"name", entry.name},
+            {"operators", entry.operators},
             {"failure_domain", entry.domain},
             {"service", entry.service},
             {"ready", entry.ready},
@@ -332,6 +352,8 @@
     m_operators.route("GET", "/v1/config/progress", false, [this](const http_exchange_ptr &exchange) { answerProgress(exchange); });
     m_operators.route("POST", "/v1/config/patch", false, [this](const http_exchange_ptr &exchange) { answerPatch(exchange); });
     m_operators.route("GET", "/v1/status", false, [this](const http_exchange_ptr &exchange) { answerStatus(exchange); });
+    m_operators.route("GET", "/v1/load", false, [this](const http_exchange_ptr &exchange) { answerLoad(exchange); });
+    m_operators.route("GET", "/v1/records", false, [this](const http_exchange_ptr &exchange) { answerRecords(exchange); });
     m_operators.route("POST", "/v1/drain", false, [this](const http_exchange_ptr &exchange) { answerDrain(exchange); });
 }
 
@@ -392,32 +414,64 @@
     });
 }
 
-void node_daemon::answerStatus(const http_exchange_ptr &exchange)
+/// @return the state of this node without the table of its members.
+json node_daemon::loadJson() const
 {
     const auto calls = m_calls.status();
-    json members = json::array();
+    json ranks = json::array();
+    for (const auto &counts : m_calls.records().counts()) {
+        ranks.push_back({{"ran", counts.ran}, {"not_run", counts.notRun}, {"unknown", counts.unknown}});
+    }
+    return {{"name", m_settings.name},
+            {"node", m_self},
+            {"failure_domain", m_settings.domain},
+            {"policy", policyModeNames.name(m_settings.mode)},
+            {"ready", ready()},
+            {"version", m_control.versions().version()},
+            {"source", configurationSourceNames.name(m_control.source())},
+            {"store_reachable", m_control.storeReachable()},
+            {"store_watching", m_control.watching()},
+            {"service", m_calls.service()},
+            {"draining", calls.draining},
+            {"entering", calls.entering},
+            {"waiting", calls.waiting},
+            {"running", calls.running},
+            {"limit", calls.limit},
+            {"shed_level", calls.level},
+            {"connections", calls.connections},
+            {"retries", calls.retries},
+            {"silent_calls", calls.silent},
+            {"suspects", calls.suspects},
+            {"rank_names", m_control.inForce().ranks},
+            {"ranks", ranks}};
+}
+
+void node_daemon::answerLoad(const http_exchange_ptr &exchange)
+{
+    exchange->respond(jsonResponse(200, loadJson().dump()));
+}
+
+void node_daemon::answerRecords(const http_exchange_ptr &exchange)
+{
+    const auto request = queryValue(exchange->request().target, "request");
+    if (request.empty()) {
+        exchange->respond(problemResponse(400, "malformed", "request: expected the id of a request"));
+        return;
+    }
+    json list = json::array();
+    for (const auto &record : m_calls.records().find(request)) {
+        list.push_back(recordJson(record));
+    }
+    exchange->respond(jsonResponse(200, list.dump()));
+}
+
+void node_daemon::answerStatus(const http_exchange_ptr &exchange)
+{
+    json body = loadJson();
+    body["members"] = json::array();
     for (const auto &entry : m_control.members().table()) {
-        members.push_back(memberJson(entry));
+        body["members"].push_back(memberJson(entry));
     }
-    const json body{{"name", m_settings.name},
-                    {"node", m_self},
-                    {"failure_domain", m_settings.domain},
-                    {"policy", policyModeNames.name(m_settings.mode)},
-                    {"ready", ready()},
-                    {"version", m_control.versions().version()},
-                    {"source", configurationSourceNames.name(m_control.source())},
-                    {"store_reachable", m_control.storeReachable()},
-                    {"store_watching", m_control.watching()},
-                    {"service", m_calls.service()},
-                    {"draining", calls.draining},
-                    {"entering", calls.entering},
-                    {"waiting", calls.waiting},
-                    {"running", calls.running},
-                    {"limit", calls.limit},
-                    {"shed_level", calls.level},
-                    {"connections", calls.connections},
-                    {"retries", calls.retries},
-                    {"members", members}};
     exchange->respond(jsonResponse(200, body.dump()));
 }
 
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -7,6 +7,7 @@
 #include "turmericspar/operator/operator_server.h"
 
 #include <memory>
+#include <nlohmann/json.hpp>
 
 namespace turmericspar {
 
@@ -33,6 +34,9 @@
     void answerHistory(const http_exchange_ptr &exchange);
     void answerProgress(const http_exchange_ptr &exchange);
     void answerPatch(const http_exchange_ptr &exchange);
+    nlohmann::json loadJson() const;
+    void answerLoad(const http_exchange_ptr &exchange);
+    void answerRecords(const http_exchange_ptr &exchange);
     void answerStatus(const http_exchange_ptr &exchange);
     void answerDrain(const http_exchange_ptr &exchange);
     void answerMetrics(const http_exchange_ptr &exchange);
--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -24,32 +24,18 @@
 };
 
 caller_load::caller_load(event_loop &loop, const trace &plan, const std::vector<node_addresses> &nodes)
-    : m_loop(loop), m_plan(plan), m_nodes(nodes), m_random(plan.seed), m_idle(nodes.size())
+    : m_loop(loop)
+    , m_plan(plan)
+    , m_nodes(nodes)
+    , m_random(plan.seed)
+    , m_arrivals(plan.drawArrivals(m_random))
+    , m_records(m_arrivals.size())
+    , m_idle(nodes.size())
 {
-    this->plan();
 }
 
 caller_load::~caller_load() = default;
 
-/// Draws all arrivals ahead: a Poisson process for each caller, the same for every policy.
-void caller_load::plan()
-{
-    for (std::size_t i = 0; i < m_plan.callers.size(); ++i) {
-        for (const auto &phase : m_plan.phases) {
-            const double perMillisecond = m_plan.rate(m_plan.callers[i], phase.from) / oneSecond.count;
-            if (perMillisecond <= 0) {
-                continue;
-            }
-            std::exponential_distribution<double> gap(perMillisecond);
-            for (millis at = phase.from + millis{gap(m_random)}; at < phase.until; at += millis{gap(m_random)}) {
-                m_arrivals.push_back({at, i});
-            }
-        }
-    }
-    std::sort(m_arrivals.begin(), m_arrivals.end(), [](const arrival &left, const arrival &right) { return left.at < right.at; });
-    m_records.resize(m_arrivals.size());
-}
-
 void caller_load::start(std::function<void()> onEnd)
 {
     m_onEnd = std::move(onEnd);
--- a/bench/replay/caller_load.h
+++ b/bench/replay/caller_load.h
@@ -45,15 +45,9 @@
     millis startedAt() const { return m_startedAt; }
 
 private:
-    struct arrival
-    {
-        millis at;
-        std::size_t caller = 0;
-    };
     struct request_state;
     using request_ptr = std::shared_ptr<request_state>;
 
-    void plan();
     void dispatch();
     void endIfDone();
     void send(const request_ptr &request);
@@ -69,7 +63,7 @@
     const trace &m_plan;
     const std::vector<node_addresses> &m_nodes;
     std::mt19937_64 m_random;
-    std::vector<arrival> m_arrivals;
+    std::vector<trace_arrival> m_arrivals; ///< all of them, drawn ahead: the same for every policy
     std::size_t m_next = 0;
     std::size_t m_open = 0;
     std::vector<request_record> m_records;
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -16,7 +17,7 @@
 constexpr const char *usage = R"(replay: runs a trace with real nodes over loopback and prints its figures.
 
 Usage:
-  replay TRACE [--policy=NAME...] [--fault=NAME...] [--first-seed=N] [--seeds=N] [--report=FILE] [--daemon=FILE] [--port=N] [--log=LEVEL] [--misses]
+  replay TRACE [--policy=NAME...] [--fault=NAME...] [--first-seed=N] [--seeds=N] [--report=FILE] [--daemon=FILE] [--port=N] [--log=LEVEL] [--misses] [--record=FILE]
   replay TRACE --list-faults
   replay --help
 
@@ -31,6 +32,7 @@
   --daemon=FILE   The node's program. Without this option: turmericspard beside this program.
   --port=N        First of the ports used on 127.0.0.1. [default: 20000]
   --log=LEVEL     How much the nodes log. [default: warning]
+  --record=FILE   Writes a trace with the arrivals of the first seed, which can be replayed again.
   --misses        Prints how the requests ended that were not answered in time.
 
 Exit codes: 0 all stated outcomes were met and no promise was broken; 1 otherwise; 2 the trace or the options have mistakes.
@@ -38,33 +40,6 @@
 
 constexpr int exitMissed = 1;
 
-/// Splits "full,a=1,b=2" into a mode and tunables.
-bool readPolicy(const std::string &text, run_options &options)
-{
-    options.policyName = text;
-    options.tunables.clear();
-    std::size_t start = 0;
-    bool first = true;
-    while (start <= text.size()) {
-        const auto end = std::min(text.find(',', start), text.size());
-        const auto word = text.substr(start, end - start);
-        if (first) {
-            const auto mode = policyModeNames.find(word);
-            if (!mode) {
-                return false;
-            }
-            options.mode = *mode;
-            first = false;
-        } else if (word.find('=') == std::string::npos) {
-            return false;
-        } else {
-            options.tunables.push_back(word);
-        }
-        start = end + 1;
-    }
-    return true;
-}
-
 /// Compares the figures of the full policy with the outcomes that the trace states.
 bool checkOutcomes(const trace &plan, const std::vector<phase_score> &scores)
 {
@@ -91,6 +66,22 @@
     return met;
 }
 
+/// Writes the trace at a path once more, with its arrivals.
+bool record(const std::string &path, const trace &plan, const std::string &to)
+{
+    std::ifstream from(path);
+    std::ofstream file(to);
+    file << from.rdbuf();
+    if (plan.arrivals.empty()) {
+        std::mt19937_64 random(plan.seed);
+        file << "arrivals:\n";
+        for (const auto &arrival : plan.drawArrivals(random)) {
+            file << fmt::format("  - {{at_ms: {:.3f}, caller: {}}}\n", arrival.at.count, plan.callers[arrival.caller].name);
+        }
+    }
+    return static_cast<bool>(file.flush());
+}
+
 int replay(trace plan, run_options options, const std::vector<std::string> &policies, int seeds, const std::string &reportPath, bool misses)
 {
     bool good = true;
@@ -99,7 +90,7 @@
         plan.seed = firstSeed + static_cast<std::uint64_t>(i);
         std::vector<scored_run> runs;
         for (const auto &policy : policies) {
-            if (!readPolicy(policy, options)) {
+            if (!options.takePolicy(policy)) {
                 std::cerr << "replay: no such policy: " << policy << '\n';
                 return exitUsage;
             }
@@ -178,6 +169,10 @@
     if (arguments.at("--first-seed")) {
         plan.seed = static_cast<std::uint64_t>(numberOption(arguments.at("--first-seed"), "--first-seed"));
     }
+    if (arguments.at("--record") && !record(path, plan, arguments.at("--record").asString())) {
+        std::cerr << "replay: can't write " << arguments.at("--record").asString() << '\n';
+        return exitUsage;
+    }
     run_options options;
     const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
     options.daemonPath = arguments.at("--daemon") ? arguments.at("--daemon").asString() : own.string();
--- a/bench/replay/report.cpp
+++ b/bench/replay/report.cpp
@@ -1,7 +1,8 @@
 #include "report.h"
 
+#include "plot.h"
+
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <fmt/format.h>
 #include <fstream>
@@ -10,81 +11,7 @@
 
 namespace {
 
-constexpr double plotWidth = 860;
-constexpr double plotHeight = 240;
-constexpr double margin = 50;
 constexpr millis seriesStep{200};
-constexpr std::array<const char *, 6> colours{"#1f77b4", "#d62728", "#2ca02c", "#9467bd", "#ff7f0e", "#8c564b"};
-
-std::string escaped(const std::string &text)
-{
-    std::string out;
-    for (const char c : text) {
-        switch (c) {
-        case '<':
-            out += "&lt;";
-            break;
-        case '>':
-            out += "&gt;";
-            break;
-        case '&':
-            out += "&amp;";
-            break;
-        default:
-            out += c;
-        }
-    }
-    return out;
-}
-
-/// One line of a plot.
-struct plot_line
-{
-    std::string label;
-    std::string colour;
-    std::vector<std::pair<double, double>> points;
-};
-
-/// Draws lines as an SVG picture.
-std::string linePlot(const std::string &title, const std::string &unit, const std::vector<plot_line> &lines)
-{
-    double right = 1;
-    double top = 1e-9;
-    for (const auto &line : lines) {
-        for (const auto &[x, y] : line.points) {
-            right = std::max(right, x);
-            top = std::max(top, y);
-        }
-    }
-    const auto toX = [&](double x) { return margin + x / right * (plotWidth - 2 * margin); };
-    const auto toY = [&](double y) { return plotHeight - margin + 20 - y / top * (plotHeight - 2 * margin); };
-    std::string svg =
-        fmt::format("<h3>{}</h3><svg width='{}' height='{}' font-family='sans-serif' font-size='11'>", escaped(title), plotWidth, plotHeight + 30);
-    svg += fmt::format("<line x1='{0}' y1='{1}' x2='{2}' y2='{1}' stroke='#888'/>", margin, toY(0), plotWidth - margin);
-    constexpr int gridLines = 4;
-    for (int i = 0; i <= gridLines; ++i) {
-        const double y = top * i / gridLines;
-        svg += fmt::format("<line x1='{0}' y1='{1:.1f}' x2='{2}' y2='{1:.1f}' stroke='#eee'/><text x='4' y='{3:.1f}'>{4:.3g}</text>",
-                           margin,
-                           toY(y),
-                           plotWidth - margin,
-                           toY(y) + 4,
-                           y);
-        const double x = right * i / gridLines;
-        svg += fmt::format("<text x='{:.1f}' y='{}'>{:.3g}</text>", toX(x), plotHeight, x);
-    }
-    svg += fmt::format("<text x='{}' y='{}'>{}</text>", plotWidth - margin + 5, plotHeight, escaped(unit));
-    double labelAt = margin;
-    for (const auto &line : lines) {
-        svg += fmt::format("<polyline fill='none' stroke='{}' stroke-width='1.6' points='", line.colour);
-        for (const auto &[x, y] : line.points) {
-            svg += fmt::format("{:.1f},{:.1f} ", toX(x), toY(y));
-        }
-        svg += fmt::format("'/><text x='{:.0f}' y='{}' fill='{}'>{}</text>", labelAt, plotHeight + 22, line.colour, escaped(line.label));
-        labelAt += 8.0 * static_cast<double>(line.label.size()) + 20;
-    }
-    return svg + "</svg>";
-}
 
 std::string goodputPlot(const trace &plan, const std::vector<scored_run> &runs)
 {
@@ -95,7 +22,7 @@
     }
     lines.push_back(std::move(offered));
     for (std::size_t i = 0; i < runs.size(); ++i) {
-        plot_line line{"in time, policy " + runs[i].history.policy, colours[i % colours.size()], {}};
+        plot_line line{"in time, policy " + runs[i].history.policy, plotColour(i), {}};
         for (const auto &point : goodputSeries(plan, runs[i].history, seriesStep)) {
             line.points.emplace_back(point.at / oneSecond, point.inTime);
         }
@@ -109,7 +36,7 @@
 {
     std::vector<plot_line> lines;
     for (std::size_t rank = 0; rank < plan.ranks.size(); ++rank) {
-        plot_line line{plan.ranks[rank], colours[rank % colours.size()], {}};
+        plot_line line{plan.ranks[rank], plotColour(rank), {}};
         for (const auto &score : run.scores) {
             const auto phase = std::find_if(plan.phases.begin(), plan.phases.end(), [&](const trace_phase &p) { return p.name == score.phase; });
             if (score.rank == static_cast<int>(rank) && score.offered > 0) {
@@ -137,7 +64,7 @@
                 bins[static_cast<int>(std::floor(std::log10(std::max(record.latency.count, 0.1)) * binsPerDecade))] += 1;
             }
         }
-        plot_line line{"policy " + runs[i].history.policy, colours[i % colours.size()], {}};
+        plot_line line{"policy " + runs[i].history.policy, plotColour(i), {}};
         for (const auto &[bin, count] : bins) {
             line.points.emplace_back(bin / binsPerDecade, count);
         }
@@ -177,10 +104,8 @@
 bool writeReport(const std::string &path, const trace &plan, const std::vector<scored_run> &runs)
 {
     std::ofstream file(path);
-    file << "<!doctype html><html lang='en'><meta charset='utf-8'><title>" << escaped(plan.name) << "</title><style>"
-         << "body{font-family:sans-serif;margin:2em;max-width:960px}table{border-collapse:collapse;font-size:13px}"
-         << "td,th{border:1px solid #ccc;padding:3px 7px;text-align:right}.bad{color:#b00}</style>"
-         << "<h1>Replay of " << escaped(plan.name) << "</h1><p>seed " << plan.seed << ", " << plan.upstreams.size() << " upstreams, each with its node</p>";
+    file << pageHead(plan.name) << "<h1>Replay of " << escaped(plan.name) << "</h1><p>seed " << plan.seed << ", " << plan.upstreams.size()
+         << " upstreams, each with its node</p>";
     file << goodputPlot(plan, runs) << latencyPlot(runs);
     for (const auto &run : runs) {
         file << rankPlot(plan, run) << scoreTable(run);
--- a/bench/replay/run.cpp
+++ b/bench/replay/run.cpp
@@ -75,6 +75,32 @@
 
 } // namespace
 
+bool run_options::takePolicy(const std::string &text)
+{
+    policyName = text;
+    tunables.clear();
+    std::size_t start = 0;
+    bool first = true;
+    while (start <= text.size()) {
+        const auto end = std::min(text.find(',', start), text.size());
+        const auto word = text.substr(start, end - start);
+        if (first) {
+            const auto named = policyModeNames.find(word);
+            if (!named) {
+                return false;
+            }
+            mode = *named;
+            first = false;
+        } else if (word.find('=') == std::string::npos) {
+            return false;
+        } else {
+            tunables.push_back(word);
+        }
+        start = end + 1;
+    }
+    return true;
+}
+
 result<run_history> runTrace(const trace &plan, const run_options &options)
 {
     // Step 1. Stand-ins and nodes
--- a/bench/replay/run.h
+++ b/bench/replay/run.h
@@ -17,6 +17,10 @@
     std::vector<std::string> tunables;
     int firstPort = 20000;
     std::string logLevel = "warning";
+
+    /// Takes up a policy: "full", "none", or a mode with tunables, as in "full,queue_share=2".
+    /// @return whether there is such a policy
+    bool takePolicy(const std::string &text);
 };
 
 /// Runs a trace from start to end.
--- a/bench/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -131,6 +131,21 @@
     return fault;
 }
 
+/// Reads recorded arrivals; each names its caller.
+trace_arrival readArrival(settings_reader place, const trace &read)
+{
+    trace_arrival arrival;
+    arrival.at = place.child("at_ms").span({0}, 0, dayMs);
+    const auto name = place.child("caller").requiredText();
+    const auto found = std::find_if(read.callers.begin(), read.callers.end(), [&](const trace_caller &caller) { return caller.name == name; });
+    if (found == read.callers.end()) {
+        place.mistake("no such caller: " + name);
+    }
+    arrival.caller = static_cast<std::size_t>(found - read.callers.begin());
+    place.finish();
+    return arrival;
+}
+
 /// Checks that the failure domains that events name exist.
 void checkDomains(settings_reader &place, const trace &read, const std::vector<trace_event> &events)
 {
@@ -207,6 +222,7 @@
     root.child("phases").each([&](settings_reader place) { readPhase(std::move(place), read); });
     root.child("events").each([&](settings_reader place) { read.events.push_back(readEvent(std::move(place))); });
     root.child("faults").each([&](settings_reader place) { read.faults.push_back(readFault(std::move(place))); });
+    root.child("arrivals").each([&](settings_reader place) { read.arrivals.push_back(readArrival(std::move(place), read)); });
     root.child("outcomes").each([&](settings_reader place) { readOutcome(std::move(place), read); });
     root.finish();
     if (read.upstreams.empty() || read.callers.empty() || read.phases.empty()) {
@@ -220,6 +236,25 @@
     return read;
 }
 
+std::vector<trace_arrival> trace::drawArrivals(std::mt19937_64 &random) const
+{
+    std::vector<trace_arrival> drawn = arrivals;
+    for (std::size_t i = 0; i < callers.size() && arrivals.empty(); ++i) {
+        for (const auto &phase : phases) {
+            const double perMillisecond = rate(callers[i], phase.from) / oneSecond.count;
+            if (perMillisecond <= 0) {
+                continue;
+            }
+            std::exponential_distribution<double> gap(perMillisecond);
+            for (millis at = phase.from + millis{gap(random)}; at < phase.until; at += millis{gap(random)}) {
+                drawn.push_back({at, i});
+            }
+        }
+    }
+    std::stable_sort(drawn.begin(), drawn.end(), [](const trace_arrival &left, const trace_arrival &right) { return left.at < right.at; });
+    return drawn;
+}
+
 bool trace::needsRelay() const
 {
     return std::any_of(events.begin(), events.end(), concernsWays);
@@ -271,6 +306,14 @@
     if (!phase) {
         return 0;
     }
+    if (!arrivals.empty()) {
+        // Recorded: what came is what counts.
+        const auto index = static_cast<std::size_t>(&caller - callers.data());
+        const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const trace_arrival &arrival) {
+            return arrival.caller == index && arrival.at >= phase->from && arrival.at < phase->until;
+        });
+        return static_cast<double>(count) / ((phase->until - phase->from) / oneSecond);
+    }
     const auto own = phase->callerLoad.find(caller.name);
     return caller.ratePerSecond * (own == phase->callerLoad.end() ? phase->load : own->second);
 }
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,13 @@
     bool oneWay = false; ///< only what leaves `domain` is concerned
 };
 
+/// A request of the load: when it comes and from which caller.
+struct trace_arrival
+{
+    millis at;
+    std::size_t caller = 0; ///< its place in the trace's list
+};
+
 /// A named fault, of which several can be combined.
 struct trace_fault
 {
@@ -122,6 +130,7 @@
     std::vector<trace_upstream> upstreams;
     std::vector<trace_caller> callers;
     std::vector<trace_phase> phases;
+    std::vector<trace_arrival> arrivals; ///< as recorded; empty to draw them by the callers' rates
     std::vector<trace_event> events;
     std::vector<trace_fault> faults; ///< that a run may add to the events
     std::vector<trace_outcome> outcomes;
@@ -132,6 +141,8 @@
     bool needsRelay() const;
     /// @return the names of the failure domains; the place of "store" is 0.
     std::vector<std::string> domains() const;
+    /// Draws the arrivals of a Poisson process for each caller, or takes the recorded ones.
+    std::vector<trace_arrival> drawArrivals(std::mt19937_64 &random) const;
     /// Adds the events of a named fault.
     /// @return whether there is one of this name
     bool addFault(const std::string &name);
--- a/bench/tests/node_test.cpp
+++ b/bench/tests/node_test.cpp
@@ -10,6 +10,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -198,6 +199,34 @@
     EXPECT_EQ(run("--key=/nonexistent status"), 2);
 }
 
+TEST_F(node_test, the_client_explains_a_request_and_shows_the_whole_deployment_from_any_node)
+{
+    const std::string root = "why me? 100%&more";
+    auto asked = request("asked");
+    asked.fields.set(field::requestId, root);
+    EXPECT_EQ(call(0, asked).status, 200);
+    const auto client = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path() / "bin/turmericsparctl";
+    const auto output = nodes->directory() + "/output.json";
+    const auto run = [&](const std::string &words) {
+        const auto line =
+            fmt::format("{} --node={} --key={} --json {} >{} 2>&1", client.string(), nodes->nodes()[1].operators.text(), nodes->keyFile(), words, output);
+        return WEXITSTATUS(std::system(line.c_str()));
+    };
+    ASSERT_EQ(run("explain '" + root + "'"), 0);
+    const auto records = json::parse(std::ifstream(output));
+    ASSERT_EQ(records.size(), 2U) << "one at the entry, one at the serving node";
+    for (const auto &record : records) {
+        EXPECT_EQ(record["request"], root);
+        EXPECT_EQ(record["outcome"], "ran");
+    }
+    EXPECT_NE(run("explain nobody-asked-this"), 0);
+    ASSERT_EQ(run("top --once --interval-ms=1"), 0);
+    const auto view = json::parse(std::ifstream(output));
+    EXPECT_EQ(view["services"]["parts"]["ready"], 2);
+    EXPECT_EQ(view["failure_domains"]["east"]["live"], 1);
+    EXPECT_EQ(view["failure_domains"]["west"]["not_reached"], 0);
+}
+
 TEST_F(node_test, operators_need_the_token)
 {
     EXPECT_FALSE(askOperators(nodes->nodes()[0], "wrong", "GET", "/v1/status"));
--- a/config/completion.bash
+++ b/config/completion.bash
@@ -4,7 +4,7 @@
   case "$previous" in
     config) COMPREPLY=($(compgen -W "create patch rollback show history diff watch" -- "$word")) ;;
     create | --key) COMPREPLY=($(compgen -f -- "$word")) ;;
-    *) COMPREPLY=($(compgen -W "config status upstreams drain --node= --key= --json --base= --to= --dry-run --author= --reason= --help" -- "$word")) ;;
+    *) COMPREPLY=($(compgen -W "config status upstreams drain top explain --once --interval-ms= --node= --key= --json --base= --to= --dry-run --author= --reason= --help" -- "$word")) ;;
   esac
 }
 complete -F _turmericsparctl turmericsparctl
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -9,6 +9,7 @@
 {
     out.set_node(entry.node);
     out.set_name(entry.name);
+    out.set_operators(entry.operators);
     out.set_domain(entry.domain);
     out.set_service(entry.service);
     out.set_ready(entry.ready);
@@ -26,6 +27,7 @@
     member entry;
     entry.node = in.node();
     entry.name = in.name();
+    entry.operators = in.operators();
     entry.domain = in.domain();
     entry.service = in.service();
     entry.ready = in.ready();
--- a/packages/operator/src/operator_server.cpp
+++ b/packages/operator/src/operator_server.cpp
@@ -3,6 +3,9 @@
 #include "turmericspar/base/problem.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <event2/http.h>
+#include <memory>
 
 namespace turmericspar {
 
@@ -20,6 +23,14 @@
     return options;
 }
 
+/// Resolves the percent signs of a query's value.
+std::string decoded(const std::string &value)
+{
+    std::size_t size = 0;
+    const std::unique_ptr<char, decltype(&std::free)> text(evhttp_uridecode(value.c_str(), 1, &size), &std::free);
+    return text ? std::string(text.get(), size) : value;
+}
+
 } // namespace
 
 std::string targetPath(const std::string &target)
@@ -38,7 +49,7 @@
     while (start < target.size()) {
         const auto end = std::min(target.find('&', start), target.size());
         if (target.compare(start, wanted.size(), wanted) == 0) {
-            return target.substr(start + wanted.size(), end - start - wanted.size());
+            return decoded(target.substr(start + wanted.size(), end - start - wanted.size()));
         }
         start = end + 1;
     }
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -30,6 +30,7 @@
 {
     node_id node;
     std::string name;
+    std::string operators; ///< its address for operators
     std::string domain;
     std::string service; ///< of its upstream; empty before one announced itself
     bool ready = false; ///< whether its upstream takes new work
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -47,6 +47,8 @@
     explicit suspects(const suspects_tunables &tuning) : m_tuning(tuning) { }
 
     suspicion_level level(request_digest digest, millis wallNow) const;
+    /// @return how many requests are suspected or convicted.
+    std::size_t heldCount(millis wallNow) const;
 
     /// Counts a call whose connection broke while it ran.
     /// @param running calls that were running before, with it
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -15,6 +15,12 @@
     return wallNow - found->second.at < life ? found->second.level : suspicion_level::none;
 }
 
+std::size_t suspects::heldCount(millis wallNow) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &entry) { return level(entry.first, wallNow) != suspicion_level::none; }));
+}
+
 void suspects::put(const suspicion &entry)
 {
     // Old entries have lapsed by themselves; when there are too many, the table starts again.
