The silence of connections is found though their calls may not be repeated

Cause: bookings are spared until their deadline, so for a second every further booking took a silent connection. Change: silence_watch tells from when connections should carry no further call even while their calls are spared.

--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -321,14 +321,13 @@
     if (m_settings.mode != policy_mode::full) {
         return;
     }
-    for (const auto id : m_silence.takeSilent(monotonicNow())) {
-        const auto found = m_served.find(id);
-        if (found == m_served.end()) {
-            continue;
-        }
+    const auto found = m_silence.look(monotonicNow());
+    if (found.replaceBefore) {
+        m_pool.renewIdle(*found.replaceBefore);
+    }
+    for (const auto id : found.silent) {
         ++m_silentCalls;
         logEvent(log_level::warning, "upstream_connection_silent", {{"service", m_service}, {"peer", m_said.address.text()}});
-        m_pool.renewIdle(found->second.startedAt);
         cancelServed(id, refusal_reason::broken);
     }
 }
--- a/packages/policy/include/turmericspar/policy/silence.h
+++ b/packages/policy/include/turmericspar/policy/silence.h
@@ -6,11 +6,20 @@
 #include "turmericspar/policy/tunables.h"
 
 #include <array>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace turmericspar {
 
+/// What a look at the calls found.
+struct silence_findings
+{
+    std::vector<call_id> silent; ///< calls to be given up, each told once
+    /// Set if connections that were last heard before this time should carry no further call.
+    std::optional<millis> replaceBefore;
+};
+
 /// Watches the calls at one upstream. It knows no connection: each call stands for the one that carries it.
 class silence_watch
 {
@@ -25,8 +34,8 @@
     /// @param answered whether its whole answer came
     void ended(call_id id, bool answered, millis now);
 
-    /// @return the calls that are held for silent; each is told once.
-    std::vector<call_id> takeSilent(millis now);
+    /// Looks for silent calls. A call that is spared is not given up, but its connection's silence is found all the same.
+    silence_findings look(millis now);
 
     /// @return the time after which an unanswered call is looked at.
     millis patience() const;
@@ -39,10 +48,12 @@
     {
         millis sentAt;
         millis spared;
+        bool suspected = false; ///< whether its silence was found while it was spared
     };
 
-    bool isProven(const open_call &call, millis now) const;
-    std::vector<call_id> oldest(millis now) const;
+    bool isOverdue(const open_call &call, millis now) const { return now - call.sentAt > patience(); }
+    std::vector<call_id> oldestOverdue(millis now) const;
+    void find(call_id id, millis now, silence_findings &findings);
 
     const tunables &m_tuning;
     std::unordered_map<call_id, open_call> m_open;
--- a/packages/policy/src/silence.cpp
+++ b/packages/policy/src/silence.cpp
@@ -37,18 +37,12 @@
     return std::max(m_tuning.silenceLeast, m_longest * m_tuning.silenceFactor);
 }
 
-/// @return whether enough calls that were sent later have been answered.
-bool silence_watch::isProven(const open_call &call, millis now) const
-{
-    return now - call.sentAt > patience() && call.sentAt < m_latestSent.front() && now >= call.spared;
-}
-
 /// @return a few of the calls that wait longest, to be sent again on other connections: their answers prove the rest.
-std::vector<call_id> silence_watch::oldest(millis now) const
+std::vector<call_id> silence_watch::oldestOverdue(millis now) const
 {
     std::vector<std::pair<millis, call_id>> waiting;
     for (const auto &[id, call] : m_open) {
-        if (now - call.sentAt > patience() && now >= call.spared) {
+        if (isOverdue(call, now)) {
             waiting.emplace_back(call.sentAt, id);
         }
     }
@@ -61,27 +55,47 @@
     return found;
 }
 
-std::vector<call_id> silence_watch::takeSilent(millis now)
+/// Notes that a call's connection is held for silent.
+void silence_watch::find(call_id id, millis now, silence_findings &findings)
 {
+    auto &call = m_open.at(id);
+    const bool isSpared = now < call.spared;
+    if (!isSpared) {
+        findings.silent.push_back(id);
+    }
+    if (!isSpared || !call.suspected) {
+        findings.replaceBefore = std::max(call.sentAt, findings.replaceBefore.value_or(call.sentAt));
+    }
+    call.suspected = true;
+}
+
+silence_findings silence_watch::look(millis now)
+{
+    silence_findings findings;
     if (m_longest.count == 0 || now - m_lookedAt < m_tuning.silenceLookPeriod) {
-        return {};
+        return findings;
     }
     m_lookedAt = now;
-    std::vector<call_id> silent;
+
+    // Step 1. Calls that others overtook
     for (const auto &[id, call] : m_open) {
-        if (isProven(call, now)) {
-            silent.push_back(id);
+        if (isOverdue(call, now) && call.sentAt < m_latestSent.front()) {
+            find(id, now, findings);
         }
     }
-    if (silent.empty() && now - m_answeredAt > patience()) {
-        silent = oldest(now);
+
+    // Step 2. A few, if nothing is answered at all
+    if (findings.silent.empty() && now - m_answeredAt > patience()) {
+        for (const auto id : oldestOverdue(now)) {
+            find(id, now, findings);
+        }
         m_answeredAt = now;
     }
-    std::sort(silent.begin(), silent.end());
-    for (const auto id : silent) {
+    std::sort(findings.silent.begin(), findings.silent.end());
+    for (const auto id : findings.silent) {
         m_open.erase(id);
     }
-    return silent;
+    return findings;
 }
 
 } // namespace turmericspar
