--- a/packages/policy/include/turmericspar/policy/shed_level.h
+++ b/packages/policy/include/turmericspar/policy/shed_level.h
@@ -17,6 +17,8 @@
 public:
     /// @return the level after one more step down from the given one.
     double relax(double level);
+    /// @return the level after a step like the last one.
+    double relaxAgain(double level);
     /// Starts again with the smallest step.
     void reset();
 
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -38,8 +38,8 @@
     double levelHeadroom = 1.15; ///< arrivals that are let in, as a multiple of what is started
     double levelBusyShare = 0.9; ///< use of the limit from which an upstream counts as busy
     millis levelMemory{300}; ///< how long an arrival counts in the distribution of importance
-    double levelBlend = 0.3; ///< weight of a new report of a level among those before
-    millis levelReportLife{150}; ///< how long a told level stands without a new report
+    double levelBlend = 0.6; ///< weight of a new report of a level among those before
+    millis levelReportLife{80}; ///< how long a told level stands without a new report
 
     // Silent connections to an upstream
     millis silenceLeast{300}; ///< shortest time after which an unanswered call is looked at
--- a/packages/policy/src/shed_level.cpp
+++ b/packages/policy/src/shed_level.cpp
@@ -17,6 +17,12 @@
     return std::max(0.0, level - m_step);
 }
 
+double level_relaxer::relaxAgain(double level)
+{
+    m_step = std::max(m_step, smallestStep);
+    return std::max(0.0, level - m_step);
+}
+
 void level_relaxer::reset()
 {
     m_step = 0;
@@ -56,10 +62,7 @@
         m_level = bound;
         m_relaxer.reset();
     } else {
-        if (busy) {
-            m_relaxer.reset();
-        }
-        m_level = std::max(bound, m_relaxer.relax(m_level));
+        m_level = std::max(bound, busy ? m_relaxer.relaxAgain(m_level) : m_relaxer.relax(m_level));
     }
     m_windowStart = now;
     m_waitingMost = 0;
