--- a/bench/replay/caller_load.cpp
+++ b/bench/replay/caller_load.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr millis connectTimeout{1000};
+constexpr int drawsMax = 10;
 
 } // namespace
 
@@ -133,7 +134,8 @@
     }
     if (caller.method == "POST") {
         message.fields.add(field::idempotencyKey, record.key);
-        if (record.tries == 1) {
+        // What was proven not to run was never sent as far as any upstream is concerned.
+        if (record.allNotRun) {
             message.fields.add(field::attempt, "1");
         }
     }
@@ -163,6 +165,9 @@
     const auto &caller = m_plan.callers[record.caller];
     record.lastStatus = outcome.error ? 0 : outcome.response.status;
     record.lastReason = outcome.error ? outcome.error.message() : outcome.response.fields.get(field::reason);
+    if (record.lastReason.empty()) {
+        record.lastReason = outcome.response.fields.get("X-Failed-Call");
+    }
     const bool notRun = !outcome.error && outcome.response.fields.get(field::outcome) == outcomeNames.name(call_outcome::not_run);
     const bool neverSent = outcome.error && !outcome.sent;
     record.allNotRun = record.allNotRun && (notRun || neverSent);
@@ -185,7 +190,11 @@
         end(request);
         return;
     }
-    request->node = pickNode(caller);
+    // A caller that was refused by one node tries another, if there is one.
+    const auto refusedBy = request->node;
+    for (int draw = 0; draw < drawsMax && request->node == refusedBy; ++draw) {
+        request->node = pickNode(caller);
+    }
     request->retryTimer = m_loop.after(caller.retryAfter, [this, request] { send(request); });
 }
 
--- a/bench/replay/score.cpp
+++ b/bench/replay/score.cpp
@@ -222,17 +222,32 @@
 
 std::vector<std::string> missRows(const trace &plan, const run_history &history)
 {
-    std::map<std::string, std::size_t> counts;
+    struct missed_span
+    {
+        std::size_t count = 0;
+        millis first;
+        millis last;
+    };
+    std::map<std::string, missed_span> spans;
     for (const auto &record : history.requests) {
         const auto *phase = plan.phaseAt(record.at);
         if (!record.inTime && phase) {
             const auto &caller = plan.callers[record.caller].name;
-            ++counts[fmt::format("phase={} caller={} status={} reason=\"{}\"", phase->name, caller, record.lastStatus, record.lastReason)];
+            auto &span = spans[fmt::format("phase={} caller={} status={} reason=\"{}\"", phase->name, caller, record.lastStatus, record.lastReason)];
+            span.first = span.count == 0 ? record.at : std::min(span.first, record.at);
+            span.last = std::max(span.last, record.at);
+            ++span.count;
         }
     }
     std::vector<std::string> rows;
-    for (const auto &[what, count] : counts) {
-        rows.push_back(fmt::format("missed trace={} policy={} {} count={}", plan.name, history.policy, what, count));
+    for (const auto &[what, span] : spans) {
+        rows.push_back(fmt::format("missed trace={} policy={} {} count={} first_ms={:.0f} last_ms={:.0f}",
+                                   plan.name,
+                                   history.policy,
+                                   what,
+                                   span.count,
+                                   span.first.count,
+                                   span.last.count));
     }
     return rows;
 }
--- a/bench/standins/upstream_standin.cpp
+++ b/bench/standins/upstream_standin.cpp
@@ -48,7 +48,7 @@
     std::vector<std::string> toCall;
     int callsOut = 0;
     bool callFailed = false;
-    bool callFinal = false;
+    std::string failedCall; ///< how a call that it made failed
     watch_ptr timer;
     std::list<std::unique_ptr<http_client>> clients;
 };
@@ -258,6 +258,9 @@
     --work->callsOut;
     const bool failed = outcome.error || outcome.response.status != 200;
     work->callFailed = work->callFailed || failed;
+    if (failed) {
+        work->failedCall = outcome.error ? outcome.error.message() : outcome.response.fields.get(field::reason);
+    }
     if (work->over || (work->callsOut > 0 && !work->callFailed)) {
         return;
     }
@@ -273,6 +276,9 @@
     response.status = status;
     response.fields.add("Content-Type", "text/plain");
     response.fields.add("X-Answer-For", work->root);
+    if (!work->failedCall.empty()) {
+        response.fields.add("X-Failed-Call", work->failedCall);
+    }
     response.body = answerChecksum(work->root, m_shape.service) + "\n";
     work->exchange->respond(response);
     leaveSlot(work, status == 200);
--- a/packages/policy/src/chain_ledger.cpp
+++ b/packages/policy/src/chain_ledger.cpp
@@ -28,6 +28,9 @@
     account.grants.emplace(child, grant);
     call_context context = account.context;
     ++context.depth;
+    // The key names the parent's run, not those of its calls.
+    context.onceKey.clear();
+    context.permit = 0;
     context.retries = grant;
     return context;
 }
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -214,6 +214,19 @@
     RC_ASSERT(toBad < 60);
 }
 
+TEST(chain_ledger, a_call_does_not_inherit_the_key_of_its_parent)
+{
+    chain_ledger ledger;
+    call_context root;
+    root.onceKey = "key";
+    root.permit = 5;
+    ledger.open(1, root);
+    const auto child = ledger.addChild(1, 2, {});
+    ASSERT_TRUE(child);
+    EXPECT_TRUE(child->onceKey.empty()) << "a second call to the same service would be taken for a duplicate";
+    EXPECT_EQ(child->permit, 0U);
+}
+
 TEST(chain_ledger, a_doomed_call_loses_its_other_calls_and_gets_no_more)
 {
     chain_ledger ledger;
