--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -72,7 +72,7 @@
     millis probeTimeout{150}; ///< for a direct answer
     int indirectProbes = 3; ///< members asked to probe in turn
     double suspicionPeriods = 2; ///< periods for which a suspect may refute
-    int newsPerMessage = 4;
+    int newsPerMessage = 2;
     double newsFactor = 2; ///< each news item is sent this factor times log2 of the members
     millis deadKept{600'000}; ///< how long the dead are remembered
     std::uint64_t forgetEvery = 100; ///< periods between two looks for members to be forgotten
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -177,7 +177,9 @@
         known->second.version = std::max(told.version, known->second.version);
         return false;
     }
-    const bool matters = told.ready != known->second.ready || isLive(told) != isLive(known->second);
+    // A refutation must overtake the suspicion, or others give the member up by their own clocks.
+    const bool refutes = known->second.state == member_state::suspect && told.state == member_state::alive;
+    const bool matters = refutes || told.ready != known->second.ready || isLive(told) != isLive(known->second);
     replace(known->second, told, how, now);
     return matters;
 }
