Read again: one piece of code for loading a trace, for a domain's number and for whether a service is known

Cause: replay and experiment read a trace, bounded its runs and found the node's program by the same lines twice; the place of a failure domain was looked up in three ways; refuseAtOnce tested whether a service is known by half of accept's test, so a service that is declared and not yet announced was counted as unknown in the metrics. Change: loadTrace, daemonBesideThis and trace::domainNumber; checkHistory takes the bound from the plan that it was given and did not use; knowsService serves accept and refuseAtOnce.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -27,25 +27,30 @@
 {
     std::optional<call_mistake> mistake;
     const auto description = describeCall(exchange->request(), m_peers.declared(), mistake);
-    const bool known = m_routes.knows(description.service) || m_peers.declared().services.contains(description.service);
     if (mistake) {
         refuseAtOnce(exchange, description, mistake->reason, mistake->detail);
     } else if (m_shuttingDown && description.parent.empty()) {
         refuseAtOnce(exchange, description, refusal_reason::shutting_down, "this node is shutting down");
     } else if (m_suspects.level(digestOf(exchange->request()), wallNow()) == suspicion_level::convicted) {
         refuseAtOnce(exchange, description, refusal_reason::suspect, "upstreams crashed when they ran this request");
-    } else if (!known) {
+    } else if (!knowsService(description.service)) {
         refuseAtOnce(exchange, description, refusal_reason::unknown_service, "no upstream ever announced this service");
     } else {
         enter(exchange, description);
     }
 }
 
+/// @return whether a service was announced once, or is declared.
+bool call_path::knowsService(const std::string &service) const
+{
+    return m_routes.knows(service) || m_peers.declared().services.contains(service);
+}
+
 void call_path::refuseAtOnce(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail)
 {
     entering_call refused;
     // Names that nobody declared must not become labels without bound.
-    refused.service = m_routes.knows(description.service) ? description.service : "unknown";
+    refused.service = knowsService(description.service) ? description.service : "unknown";
     refused.context.root = description.requestId;
     refused.rank = description.rank;
     refused.since = monotonicNow();
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -151,6 +151,7 @@
     bool mayBegin(call_id id, const served_call &call);
     void noteKey(const served_call &call, const wire::CallReply &reply);
     void enter(const http_exchange_ptr &exchange, const call_description &description);
+    bool knowsService(const std::string &service) const;
     void refuseAtOnce(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
     void offerNextSuspect();
--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -8,7 +8,6 @@
 #include <array>
 #include <cmath>
 #include <csignal>
-#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <map>
@@ -119,8 +118,7 @@
             std::cerr << "experiment: " << history.error().text() << '\n';
             return false;
         }
-        const int runsMax = 1 + static_cast<int>(plan.configuration.value("retries_per_request", 3));
-        sound = sound && checkHistory(plan, *history, runsMax).empty();
+        sound = sound && checkHistory(plan, *history).empty();
         for (const auto &score : scorePhases(plan, *history)) {
             if (score.rank >= 0) {
                 continue;
@@ -142,14 +140,13 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto arguments = parseCommandLine(usage, argc, argv);
-    std::vector<settings_mistake> mistakes;
-    const auto path = arguments.at("TRACE").asString();
-    auto plan = readTrace(path, mistakes);
-    for (const auto &mistake : mistakes) {
-        std::cerr << path << ": " << mistake.text() << '\n';
+    auto loaded = loadTrace(arguments.at("TRACE").asString());
+    if (!loaded) {
+        return exitUsage;
     }
+    auto &plan = *loaded;
     run_options options;
-    options.daemonPath = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
+    options.daemonPath = daemonBesideThis();
     options.firstPort = static_cast<int>(numberOption(arguments.at("--port"), "--port"));
     const auto variants = arguments.at("--variant").asStringList();
     for (const auto &variant : variants) {
@@ -158,9 +155,6 @@
             return exitUsage;
         }
     }
-    if (!mistakes.empty()) {
-        return exitUsage;
-    }
 
     // Step 1. The runs
     std::map<std::string, std::vector<value_table>> tables;
--- a/bench/replay/fleet.cpp
+++ b/bench/replay/fleet.cpp
@@ -29,12 +29,6 @@
     return {loopback, static_cast<std::uint16_t>(first + static_cast<int>(index) * portsPerNode + which)};
 }
 
-domain_number numberOf(const trace &plan, const std::string &domain)
-{
-    const auto names = plan.domains();
-    return static_cast<domain_number>(std::find(names.begin(), names.end(), domain) - names.begin());
-}
-
 } // namespace
 
 fleet::fleet(const trace &plan, fleet_options options) : m_plan(plan), m_options(std::move(options))
@@ -52,7 +46,7 @@
         node.bound = node.nodes;
         if (plan.needsRelay()) {
             node.nodes.ip = relayFront;
-            node.bound.ip = relayedIp(numberOf(plan, node.domain));
+            node.bound.ip = relayedIp(plan.domainNumber(node.domain));
         }
         m_nodes.push_back(std::move(node));
     }
@@ -71,7 +65,7 @@
 /// @return where the nodes of a failure domain reach the platform's store.
 endpoint fleet::platformFor(const std::string &domain) const
 {
-    return m_plan.needsRelay() ? endpoint{relayedIp(numberOf(m_plan, domain)), m_options.platform.port} : m_options.platform;
+    return m_plan.needsRelay() ? endpoint{relayedIp(m_plan.domainNumber(domain)), m_options.platform.port} : m_options.platform;
 }
 
 std::vector<relayed_place> fleet::relayedPlaces() const
@@ -81,7 +75,7 @@
         return places;
     }
     for (const auto &node : m_nodes) {
-        places.push_back({node.nodes, node.bound, numberOf(m_plan, node.domain), -1, true});
+        places.push_back({node.nodes, node.bound, m_plan.domainNumber(node.domain), -1, true});
     }
     const auto names = m_plan.domains();
     for (std::size_t i = 1; i < names.size(); ++i) {
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -5,7 +5,6 @@
 #include "turmericspar/base/command_line.h"
 
 #include <csignal>
-#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
@@ -99,10 +98,9 @@
                 std::cerr << "replay: " << history.error().text() << '\n';
                 return exitMissed;
             }
-            const int runsMax = 1 + static_cast<int>(plan.configuration.value("retries_per_request", 3));
             scored_run run{std::move(*history), {}, {}};
             run.scores = scorePhases(plan, run.history);
-            run.violations = checkHistory(plan, run.history, runsMax);
+            run.violations = checkHistory(plan, run.history);
             for (const auto &score : run.scores) {
                 fmt::print("{} seed={}\n", scoreRow(plan.name, policy, score), plan.seed);
             }
@@ -144,15 +142,12 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto arguments = parseCommandLine(usage, argc, argv);
-    std::vector<settings_mistake> mistakes;
     const auto path = arguments.at("TRACE").asString();
-    auto plan = readTrace(path, mistakes);
-    for (const auto &mistake : mistakes) {
-        std::cerr << path << ": " << mistake.text() << '\n';
-    }
-    if (!mistakes.empty()) {
+    auto loaded = loadTrace(path);
+    if (!loaded) {
         return exitUsage;
     }
+    auto &plan = *loaded;
     if (arguments.at("--list-faults").asBool()) {
         for (const auto &fault : plan.faults) {
             fmt::print("{}\n", fault.name);
@@ -174,8 +169,7 @@
         return exitUsage;
     }
     run_options options;
-    const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
-    options.daemonPath = arguments.at("--daemon") ? arguments.at("--daemon").asString() : own.string();
+    options.daemonPath = arguments.at("--daemon") ? arguments.at("--daemon").asString() : daemonBesideThis();
     options.firstPort = static_cast<int>(numberOption(arguments.at("--port"), "--port"));
     options.logLevel = arguments.at("--log").asString();
     auto policies = arguments.at("--policy").asStringList();
--- a/bench/replay/run.cpp
+++ b/bench/replay/run.cpp
@@ -5,6 +5,7 @@
 #include "turmericspar/base/secret.h"
 #include "turmericspar/policy/configuration.h"
 
+#include <filesystem>
 #include <fmt/format.h>
 
 namespace turmericspar {
@@ -101,6 +102,11 @@
     return true;
 }
 
+std::string daemonBesideThis()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path() / "turmericspard";
+}
+
 result<run_history> runTrace(const trace &plan, const run_options &options)
 {
     // Step 1. Stand-ins and nodes
--- a/bench/replay/run.h
+++ b/bench/replay/run.h
@@ -23,6 +23,9 @@
     bool takePolicy(const std::string &text);
 };
 
+/// @return the node's program that lies beside the running one.
+std::string daemonBesideThis();
+
 /// Runs a trace from start to end.
 result<run_history> runTrace(const trace &plan, const run_options &options);
 
--- a/bench/replay/score.cpp
+++ b/bench/replay/score.cpp
@@ -141,8 +141,9 @@
     return scores;
 }
 
-std::vector<history_violation> checkHistory(const trace &plan, const run_history &history, int runsMax)
+std::vector<history_violation> checkHistory(const trace &plan, const run_history &history)
 {
+    const int runsMax = 1 + static_cast<int>(plan.configuration.value("retries_per_request", 3));
     std::vector<history_violation> violations;
     std::unordered_map<std::string, int> runsByService;
     std::unordered_map<std::string, int> runsByKey;
@@ -180,7 +181,6 @@
             violations.push_back({"at-most-once", fmt::format("key {} ran {} times", name, runs)});
         }
     }
-    (void)plan;
     std::sort(violations.begin(), violations.end(), [](const auto &left, const auto &right) { return left.witness.size() < right.witness.size(); });
     return violations;
 }
--- a/bench/replay/score.h
+++ b/bench/replay/score.h
@@ -51,8 +51,7 @@
 std::vector<phase_score> scorePhases(const trace &plan, const run_history &history);
 
 /// Checks what must hold in every run.
-/// @param runsMax most runs of one request at one service, over all its tries
-std::vector<history_violation> checkHistory(const trace &plan, const run_history &history, int runsMax);
+std::vector<history_violation> checkHistory(const trace &plan, const run_history &history);
 
 /// @return one line of key=value pairs.
 std::string scoreRow(const std::string &traceName, const std::string &policy, const phase_score &score);
--- a/bench/replay/standin_thread.cpp
+++ b/bench/replay/standin_thread.cpp
@@ -140,8 +140,7 @@
             behind.push_back(on.upstreams[i]->address());
         }
     }
-    const auto names = m_plan.domains();
-    const auto domain = static_cast<domain_number>(std::find(names.begin(), names.end(), event.domain) - names.begin());
+    const domain_number domain = m_plan.domainNumber(event.domain);
     on.ways.silence([&](domain_number near, domain_number far, const endpoint &target) {
         const bool toUpstream = std::find(behind.begin(), behind.end(), target) != behind.end();
         return toUpstream || (near != far && (near == domain || far == domain));
@@ -152,7 +151,7 @@
 void standin_thread::applyToWays(const trace_event &event, bool begins, relay &ways) const
 {
     const auto names = m_plan.domains();
-    const auto domain = static_cast<domain_number>(std::find(names.begin(), names.end(), event.domain) - names.begin());
+    const domain_number domain = m_plan.domainNumber(event.domain);
     const auto change = [&](way_fault &fault) {
         if (event.kind == event_kind::cut) {
             fault.cut = begins;
--- a/bench/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <fstream>
 #include <functional>
+#include <iostream>
 
 namespace turmericspar {
 
@@ -255,6 +256,16 @@
     return drawn;
 }
 
+std::optional<trace> loadTrace(const std::string &path)
+{
+    std::vector<settings_mistake> mistakes;
+    auto read = readTrace(path, mistakes);
+    for (const auto &mistake : mistakes) {
+        std::cerr << path << ": " << mistake.text() << '\n';
+    }
+    return mistakes.empty() ? std::optional(std::move(read)) : std::nullopt;
+}
+
 bool trace::needsRelay() const
 {
     return std::any_of(events.begin(), events.end(), concernsWays);
@@ -271,6 +282,12 @@
     return names;
 }
 
+int trace::domainNumber(const std::string &name) const
+{
+    const auto names = domains();
+    return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
 bool trace::addFault(const std::string &name)
 {
     const auto found = std::find_if(faults.begin(), faults.end(), [&](const trace_fault &fault) { return fault.name == name; });
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -141,6 +141,8 @@
     bool needsRelay() const;
     /// @return the names of the failure domains; the place of "store" is 0.
     std::vector<std::string> domains() const;
+    /// @return the place of a failure domain among the names; one past the last if there is none of this name.
+    int domainNumber(const std::string &name) const;
     /// Draws the arrivals of a Poisson process for each caller, or takes the recorded ones.
     std::vector<trace_arrival> drawArrivals(std::mt19937_64 &random) const;
     /// Adds the events of a named fault.
@@ -159,4 +161,8 @@
 /// @param mistakes receives every mistake; the result is of use only if there is none
 trace readTrace(const std::string &path, std::vector<settings_mistake> &mistakes);
 
+/// Reads a trace file and tells its mistakes on standard error.
+/// @return nothing if there are any
+std::optional<trace> loadTrace(const std::string &path);
+
 } // namespace turmericspar
