--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -7,12 +7,29 @@
 #include "turmericspar/node/wire.h"
 
 #include <cmath>
+#include <fmt/format.h>
 
 namespace turmericspar {
 
 namespace {
 
 constexpr int serverErrorFirst = 500;
+constexpr int statusUnavailable = 503;
+
+/// @return whether a status promises that a call did not run, where statuses do.
+bool isPromise(std::uint32_t status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Replaces a field that the interface has a name for.
+void addField(http_fields &fields, const std::string &name, std::string value)
+{
+    if (!name.empty()) {
+        fields.set(name, std::move(value));
+    }
+}
+
 /// Between two looks at a key whose first attempt still runs.
 constexpr millis recheckPause{100};
 
@@ -26,11 +43,13 @@
 void call_path::accept(const http_exchange_ptr &exchange)
 {
     std::optional<call_mistake> mistake;
-    const auto description = describeCall(exchange->request(), m_peers.declared(), mistake);
-    if (mistake) {
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const auto description = describeCall(exchange->request(), m_profile.calls, m_peers.declared(), draw, mistake);
+    const bool unconfigured = !m_profile.operatorsDocument.key.empty() && m_peers.version() == 0;
+    if (unconfigured) {
+        refuseAtOnce(exchange, description, refusal_reason::unconfigured, "no configuration is known yet");
+    } else if (mistake) {
         refuseAtOnce(exchange, description, mistake->reason, mistake->detail);
-    } else if (m_shuttingDown && description.parent.empty()) {
-        refuseAtOnce(exchange, description, refusal_reason::shutting_down, "this node is shutting down");
     } else if (m_suspects.level(digestOf(exchange->request()), wallNow()) == suspicion_level::convicted) {
         refuseAtOnce(exchange, description, refusal_reason::suspect, "upstreams crashed when they ran this request");
     } else if (!knowsService(description.service)) {
@@ -79,6 +98,10 @@
         const auto service = declared.services.find(description.service);
         const bool ownRetries = service != declared.services.end() && service->second.retries;
         context.retries = ownRetries ? *service->second.retries : declared.retriesPerRequest;
+        if (const auto *chosen = description.declaredRoute) {
+            context.retries = chosen->attempts - 1;
+            context.deadline = std::min(context.deadline, now + chosen->timeout.value_or(context.deadline - now));
+        }
     } else {
         call.parent = parentOf(description.parent);
         auto context = m_ledger.addChild(call.parent, id, now);
@@ -202,6 +225,19 @@
     }
 }
 
+/// @return a caller's request as it goes to a serving node: without what concerns the caller's connection, and with what the system
+/// says of it.
+http_request call_path::outgoingRequest(const entering_call &call) const
+{
+    http_request request = call.exchange->request();
+    removeCallFields(m_profile.calls, request.fields);
+    request.fields.removeHopByHop();
+    if (!m_profile.calls.callerService.empty()) {
+        request.fields.set(m_profile.calls.callerService, m_settings.service);
+    }
+    return request;
+}
+
 void call_path::forward(const entry_action &action)
 {
     const auto found = m_entering.find(action.id);
@@ -210,12 +246,12 @@
     }
     auto &call = found->second;
     call.sentTo += (call.sentTo.empty() ? "" : " ") + action.node;
-    const auto &request = call.exchange->request();
+    auto request = outgoingRequest(call);
     call_context context = call.context;
     context.retries = action.retries;
     const auto attempt = static_cast<std::uint32_t>(action.attempt);
     if (action.node == m_self) {
-        serve({true, false, {}, action.id, attempt}, context, request);
+        serve({true, false, {}, action.id, attempt}, context, std::move(request));
         return;
     }
     wire::CallRequest out;
@@ -234,10 +270,8 @@
     out.set_permit(context.permit);
     out.set_method(request.method);
     out.set_target(request.target);
-    out.set_body(request.body);
-    http_fields fields = request.fields;
-    fields.removeHopByHop();
-    fieldsToWire(fields, out);
+    out.set_body(std::move(request.body));
+    fieldsToWire(request.fields, out);
     m_peers.sendRequest(action.node, std::move(out), context.deadline);
 }
 
@@ -306,16 +340,17 @@
 
     http_response response;
     const bool hasAnswer = action.useAnswer && call.answer && call.answer->status() != 0;
-    if (hasAnswer) {
+    const bool wouldPromise = m_profile.calls.statusProves && call.answer && isPromise(call.answer->status());
+    if (hasAnswer && !wouldPromise) {
         response.status = static_cast<int>(call.answer->status());
         response.fields = fieldsFromWire(*call.answer);
         response.body = std::move(*call.answer->mutable_body());
         stamp(response, action.outcome);
     } else {
-        response = refusalResponse(action.reason, action.outcome, {});
+        response = refusalResponse(wouldPromise ? refusal_reason::broken : action.reason, action.outcome, {});
     }
-    if (action.finalFailure) {
-        response.fields.set(field::finalFailure, "1");
+    if (action.finalFailure && !m_profile.calls.finalFailure.empty()) {
+        response.fields.set(m_profile.calls.finalFailure, "1");
     }
     noteEntered(call, action.outcome, action.reason);
     if (hasAnswer) {
@@ -375,14 +410,14 @@
 http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail)
 {
     const std::string word(refusalNames.name(reason));
-    const int status = statusFor(reason, outcome);
+    const int status = statusFor(m_profile.calls, reason, outcome);
     auto response = problemResponse(status, word, detail.empty() ? "the call was given up: " + word : detail);
-    response.fields.add(field::reason, word);
-    response.fields.add(field::refusedBy, m_settings.name);
-    if (status == 503) {
+    addField(response.fields, m_profile.calls.reason, word);
+    addField(response.fields, m_profile.calls.refusedBy, m_settings.name);
+    if (status == statusUnavailable) {
         const double spread = std::uniform_real_distribution<double>(0, m_settings.tuning.retryAfterSpread.count)(m_random);
         const double wait = (m_settings.tuning.retryAfterLeast.count + spread) / oneSecond.count;
-        response.fields.add(field::retryAfter, std::to_string(static_cast<int>(std::ceil(wait))));
+        response.fields.add(field::retryAfter, m_profile.calls.fractionalRetryAfter ? fmt::format("{:.2f}", wait) : fmt::format("{:.0f}", std::ceil(wait)));
     }
     stamp(response, outcome);
     return response;
@@ -390,8 +425,8 @@
 
 void call_path::stamp(http_response &response, call_outcome outcome)
 {
-    response.fields.set(field::outcome, std::string(outcomeNames.name(outcome)));
-    response.fields.set(field::configVersion, std::to_string(m_peers.version()));
+    addField(response.fields, m_profile.calls.outcome, std::string(outcomeNames.name(outcome)));
+    addField(response.fields, m_profile.calls.configVersion, std::to_string(m_peers.version()));
 }
 
 } // namespace turmericspar
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -11,8 +11,12 @@
 
 constexpr millis tickPeriod{5};
 
-/// Connections kept open beyond the upstream's limit, so that the limit can grow without a wait.
-constexpr double spareConnectionsShare = 0.25;
+upstream_pool_options poolOptions(const node_settings &settings)
+{
+    upstream_pool_options options;
+    options.idleMost = settings.connectionIdle;
+    return options;
+}
 
 } // namespace
 
@@ -21,9 +25,16 @@
     return stableHash(request.body, stableHash(request.method + " " + request.target));
 }
 
-call_path::call_path(event_loop &loop, const node_settings &settings, node_id self, std::uint64_t incarnation, std::uint64_t seed, call_path_peers peers)
+call_path::call_path(event_loop &loop,
+                     const node_settings &settings,
+                     const interface_profile &profile,
+                     node_id self,
+                     std::uint64_t incarnation,
+                     std::uint64_t seed,
+                     call_path_peers peers)
     : m_loop(loop)
     , m_settings(settings)
+    , m_profile(profile)
     , m_self(std::move(self))
     , m_incarnation(incarnation)
     , m_peers(std::move(peers))
@@ -32,7 +43,7 @@
     , m_entry(settings.tuning, settings.mode, m_routes)
     , m_serving(settings.tuning, settings.mode)
     , m_once(loop, m_self, seed, m_peers.once)
-    , m_pool(loop, {}, [this](call_id id, http_outcome outcome) { ran(id, std::move(outcome)); })
+    , m_pool(loop, poolOptions(settings), [this](call_id id, http_outcome outcome) { ran(id, std::move(outcome)); })
     , m_silence(settings.tuning)
     , m_suspects(suspects_tunables{})
     , m_tick(loop.every(tickPeriod, [this] { tick(); }))
@@ -44,18 +55,27 @@
 int call_path::wantedConnections() const
 {
     const int limit = m_settings.mode == policy_mode::none ? m_said.slots : m_serving.limit();
-    return static_cast<int>(std::ceil(limit * (1 + spareConnectionsShare)));
+    return static_cast<int>(std::ceil(limit * m_settings.tuning.connectionsAhead));
+}
+
+/// @return how many connections the upstream accepts: as it says, as the operators declare, or as many as it has slots.
+int call_path::connectionsMost() const
+{
+    const auto &declared = m_peers.declared().services;
+    const auto service = declared.find(m_said.service);
+    const auto byOperators = service == declared.end() ? std::nullopt : service->second.connections;
+    return m_said.connections.value_or(byOperators.value_or(m_said.slots));
 }
 
 void call_path::announced(const announcement &said)
 {
-    const bool isNew = m_service.empty() || said.address != m_said.address || said.service != m_said.service;
+    const bool isNew = m_service.empty() || said.instance != m_said.instance || said.address != m_said.address || said.service != m_said.service;
     if (!m_said.service.empty() && said.service != m_said.service) {
         m_once.forgetAll();
     }
     m_said = said;
     m_service = said.service;
-    m_serving.announce(said.slots, said.connections, said.cold);
+    m_serving.announce(said.slots, connectionsMost(), said.cold);
     m_connectionsWanted = -1;
     openConnections();
     if (isNew) {
@@ -64,7 +84,8 @@
                  {{"service", said.service},
                   {"address", said.address.text()},
                   {"slots", said.slots},
-                  {"connections", said.connections},
+                  {"instance", said.instance},
+                  {"connections", connectionsMost()},
                   {"cold", said.cold ? "true" : "false"}});
         reconfigure();
     }
@@ -77,7 +98,7 @@
     const int wanted = wantedConnections();
     if (!m_service.empty() && wanted != m_connectionsWanted) {
         m_connectionsWanted = wanted;
-        m_pool.configure(m_said.address, wanted, m_said.connections);
+        m_pool.configure(m_said.address, wanted, connectionsMost());
     }
 }
 
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -4,6 +4,7 @@
 
 #include "call_metrics.h"
 #include "call_records.h"
+#include "interface_profile.h"
 #include "node_settings.h"
 #include "once_guard.h"
 #include "turmericspar/base/event_loop.h"
@@ -64,7 +65,13 @@
 class call_path
 {
 public:
-    call_path(event_loop &loop, const node_settings &settings, node_id self, std::uint64_t incarnation, std::uint64_t seed, call_path_peers peers);
+    call_path(event_loop &loop,
+              const node_settings &settings,
+              const interface_profile &profile,
+              node_id self,
+              std::uint64_t incarnation,
+              std::uint64_t seed,
+              call_path_peers peers);
     ~call_path();
 
     routing &routes() { return m_routes; }
@@ -93,7 +100,7 @@
     void reconfigure();
     /// Lets the upstream drain by an operator's word, or ends that.
     void setDrainOrdered(bool ordered);
-    /// Takes no new work from now on.
+    /// Gives the upstream no new work from now on; callers' requests still go to others.
     void beginShutdown();
     /// @return whether no call is in progress.
     bool idle() const { return m_entering.empty() && m_served.empty(); }
@@ -179,9 +186,14 @@
     std::string contextToken(call_id id) const;
     void applyDrain();
     int wantedConnections() const;
+    int connectionsMost() const;
+    bool provesNotRun(const http_response &response) const;
+    bool isWhole(const http_response &response) const;
+    http_request outgoingRequest(const entering_call &call) const;
 
     event_loop &m_loop;
     const node_settings &m_settings;
+    const interface_profile &m_profile;
     node_id m_self;
     std::uint64_t m_incarnation;
     call_path_peers m_peers;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -18,10 +18,15 @@
 /// Pass-through mode waits for an upstream whatever the caller's deadline is, as a plain proxy does.
 constexpr millis passThroughTimeout{60'000};
 
-/// @return whether an answer of the upstream says that it did not begin the call.
-bool isShed(const http_response &response)
+constexpr int serverRefusalFirst = 400;
+constexpr int statusMisdirected = 421;
+
+/// Replaces a field that the interface has a name for.
+void setField(http_fields &fields, const std::string &name, std::string value)
 {
-    return response.status == 503 && response.fields.get(field::outcome) == outcomeNames.name(call_outcome::not_run);
+    if (!name.empty() && !value.empty()) {
+        fields.set(name, std::move(value));
+    }
 }
 
 call_context contextFromWire(const wire::CallRequest &request, millis now)
@@ -142,18 +147,22 @@
     }
     const millis left = call.context.deadline - now;
     auto request = std::move(call.request);
-    removeCallFields(request.fields);
-    request.fields.removeHopByHop();
-    request.fields.set(field::context, contextToken(id));
-    request.fields.set(field::deadline, fmt::format("{:.0f}", std::max(left.count, 1.0)));
-    request.fields.set(field::requestId, call.context.root);
-    request.fields.set(field::klass, call.context.klass);
-    request.fields.set(field::rank, std::to_string(call.context.place.rank));
+    const auto &dialect = m_profile.calls;
+    setField(request.fields, dialect.context, contextToken(id));
+    setField(request.fields, dialect.deadline, fmt::format("{:.0f}", std::max(left.count, 1.0)));
+    setField(request.fields, dialect.requestId, call.context.root);
+    setField(request.fields, dialect.klass, call.context.klass);
+    setField(request.fields, dialect.rank, std::to_string(call.context.place.rank));
+    setField(request.fields, dialect.instance, m_said.instance);
+    http_echo echo;
+    if (dialect.echoesRequestId) {
+        echo = {dialect.requestId, call.context.root};
+    }
     const bool passThrough = m_settings.mode == policy_mode::none;
     const millis linger = call.context.onceKey.empty() ? millis{0} : keyedLinger;
     // A call that may not be repeated keeps its connection as long as its caller waits.
     m_silence.sent(id, call.context.intent == call_intent::once ? call.context.deadline : millis{0}, now);
-    m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}) + linger);
+    m_pool.run(id, request, passThrough ? passThroughTimeout : std::max(left, millis{1}) + linger, std::move(echo));
 }
 
 /// Checks the key of a call that may run at most once, and answers in its place if it may not begin.
@@ -202,6 +211,24 @@
     }
 }
 
+/// @return whether an answer of the upstream says that it did not begin the call.
+bool call_path::provesNotRun(const http_response &response) const
+{
+    const auto &dialect = m_profile.calls;
+    const auto *marker = response.fields.find(dialect.notRun);
+    const bool marked = marker && (dialect.notRunValue.empty() || *marker == dialect.notRunValue);
+    const bool misdirected = !dialect.instance.empty() && response.status == statusMisdirected;
+    return (marked && response.status >= serverRefusalFirst) || misdirected;
+}
+
+/// @return whether an answer is the upstream's own and complete, as far as its header tells.
+bool call_path::isWhole(const http_response &response) const
+{
+    const auto &dialect = m_profile.calls;
+    const bool success = response.status >= 200 && response.status < 300;
+    return dialect.signature.empty() || ((!success || response.fields.find(dialect.signature)) && !response.fields.find("Content-Encoding"));
+}
+
 /// Learns how the upstream answered a call.
 void call_path::ran(call_id id, http_outcome outcome)
 {
@@ -211,14 +238,17 @@
         const auto reason = !outcome.sent ? refusal_reason::unreachable : (timedOut ? refusal_reason::deadline : refusal_reason::broken);
         reply.set_outcome(static_cast<std::uint32_t>(outcome.sent ? call_outcome::unknown : call_outcome::not_run));
         reply.set_reason(static_cast<std::uint32_t>(reason));
-    } else if (isShed(outcome.response)) {
+    } else if (!isWhole(outcome.response)) {
+        reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
+        reply.set_reason(static_cast<std::uint32_t>(refusal_reason::broken));
+    } else if (provesNotRun(outcome.response)) {
         reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
         reply.set_reason(static_cast<std::uint32_t>(refusal_reason::shed_by_upstream));
     } else {
         reply.set_outcome(static_cast<std::uint32_t>(call_outcome::ran));
         reply.set_status(static_cast<std::uint32_t>(outcome.response.status));
         outcome.response.fields.removeHopByHop();
-        removeCallFields(outcome.response.fields);
+        removeCallFields(m_profile.calls, outcome.response.fields);
         fieldsToWire(outcome.response.fields, reply);
         reply.set_body(std::move(outcome.response.body));
     }
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -16,7 +16,9 @@
 constexpr millis tickPeriod{50};
 constexpr millis watcherPeriod{1000};
 /// Between two looks for seeds in the store, while nobody is known.
-constexpr millis seedPeriod{3000};
+constexpr millis seedPeriod{500};
+/// How long the store holds a watch of the operators' document: a connection that has gone silent is noticed by then.
+constexpr millis documentWatchSpan{2500};
 
 /// Nodes of a failure domain that watch the store.
 constexpr std::size_t watchersPerDomain = 2;
@@ -46,8 +48,13 @@
 
 } // namespace
 
-control_path::control_path(
-    event_loop &loop, const node_settings &settings, const key_ring &keys, node_id self, std::uint64_t seed, control_path_handlers handlers)
+control_path::control_path(event_loop &loop,
+                           const node_settings &settings,
+                           const interface_profile &profile,
+                           const key_ring &keys,
+                           node_id self,
+                           std::uint64_t seed,
+                           control_path_handlers handlers)
     : m_loop(loop)
     , m_settings(settings)
     , m_handlers(std::move(handlers))
@@ -58,9 +65,16 @@
     if (settings.platform) {
         store_options options;
         options.address = *settings.platform;
-        m_store = std::make_unique<store>(loop, options);
-        m_versions = std::make_unique<version_store>(
-            loop, *m_store, settings.platformPrefix, m_log, [this] { advanced(); }, seed);
+        const bool byOperators = !profile.operatorsDocument.key.empty();
+        options.watchSpan = byOperators ? documentWatchSpan : options.watchSpan;
+        m_store = std::make_unique<store>(loop, options, profile.makeStoreForm());
+        if (byOperators) {
+            m_versions = std::make_unique<document_watch>(
+                loop, *m_store, profile.operatorsDocument, m_log, [this] { advanced(); }, seed);
+        } else {
+            m_versions = std::make_unique<version_store>(
+                loop, *m_store, settings.platformPrefix, m_log, [this] { advanced(); }, seed);
+        }
         m_board = std::make_unique<seed_board>(loop, *m_store, settings.platformPrefix, settings.domain, m_members.self().node);
     }
     readFallback();
@@ -86,6 +100,7 @@
     m_tick = m_loop.every(tickPeriod, [this] { tick(); });
     readSeeds();
     m_seedTimer = m_loop.every(seedPeriod, [this] { readSeeds(); });
+    chooseWatchers();
     m_watcherTimer = m_loop.every(watcherPeriod, [this] { chooseWatchers(); });
     return true;
 }
@@ -293,7 +308,7 @@
     });
 }
 
-void control_path::submit(version_record record, std::uint64_t base, version_store::submission_handler done)
+void control_path::submit(version_record record, std::uint64_t base, version_source::submission_handler done)
 {
     if (!m_versions) {
         done({submission_result::verdict::unavailable, m_log.version(), {}, "this node's settings name no platform"});
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -2,14 +2,15 @@
 /// What a node does beside the calls: membership, and the configuration's versions.
 #pragma once
 
+#include "interface_profile.h"
 #include "node_settings.h"
 #include "turmericspar/base/event_loop.h"
 #include "turmericspar/node/gossip.h"
 #include "turmericspar/node/node_link.h"
-#include "turmericspar/platform/seed_board.h"
-#include "turmericspar/platform/version_store.h"
 #include "turmericspar/policy/membership.h"
 #include "turmericspar/policy/version_log.h"
+#include "turmericspar/store/seed_board.h"
+#include "turmericspar/store/version_store.h"
 
 #include <functional>
 #include <memory>
@@ -42,7 +43,13 @@
 class control_path
 {
 public:
-    control_path(event_loop &loop, const node_settings &settings, const key_ring &keys, node_id self, std::uint64_t seed, control_path_handlers handlers);
+    control_path(event_loop &loop,
+                 const node_settings &settings,
+                 const interface_profile &profile,
+                 const key_ring &keys,
+                 node_id self,
+                 std::uint64_t seed,
+                 control_path_handlers handlers);
     ~control_path();
 
     /// Opens the gossip socket and begins.
@@ -61,7 +68,7 @@
     void leave();
 
     /// Submits a patch stated against a version.
-    void submit(version_record record, std::uint64_t base, version_store::submission_handler done);
+    void submit(version_record record, std::uint64_t base, version_source::submission_handler done);
 
     const version_log &versions() const { return m_log; }
     const configuration &inForce() const;
@@ -95,7 +102,7 @@
     std::optional<configuration> m_fallback;
     gossip m_gossip;
     std::unique_ptr<store> m_store;
-    std::unique_ptr<version_store> m_versions;
+    std::unique_ptr<version_source> m_versions;
     std::unique_ptr<seed_board> m_board;
     node_link *m_links = nullptr;
     millis m_pulledAt{0};
--- /dev/null
+++ b/apps/turmericspard/interface_profile.h
@@ -0,0 +1,25 @@
+/// @file interface_profile.h
+/// How a node speaks with callers, its upstream, operators and the store: everything that differs between deployments.
+#pragma once
+
+#include "turmericspar/caller/call_fields.h"
+#include "turmericspar/store/document_watch.h"
+#include "turmericspar/store/store_form.h"
+#include "turmericspar/upstream/announcement.h"
+
+#include <memory>
+#include <string>
+
+namespace turmericspar {
+
+/// One way to speak with all peers outside the system.
+struct interface_profile
+{
+    call_dialect calls;
+    notice_reader readNotice = turmericspar::readNotice;
+    std::string readinessPath = "/readyz";
+    std::unique_ptr<store_form> (*makeStoreForm)() = makeConsulForm;
+    document_place operatorsDocument; ///< without a key, operators submit patches to nodes
+};
+
+} // namespace turmericspar
--- a/apps/turmericspard/main.cpp
+++ b/apps/turmericspard/main.cpp
@@ -1,6 +1,7 @@
 /// @file main.cpp
 /// turmericspard, the node.
 #include "node_daemon.h"
+#include "platform_interface.h"
 #include "turmericspar/base/command_line.h"
 
 #include <csignal>
@@ -31,7 +32,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     startLog(settings.name, settings.logLevel, settings.logFile);
-    node_daemon daemon(settings, keys);
+    node_daemon daemon(settings, settings.interface == interface_kind::platform ? platform::platformInterface() : interface_profile(), keys);
     const auto started = daemon.start();
     if (!started) {
         logFailure(log_level::error, "start_failed", started.error());
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -22,34 +22,37 @@
     return seed;
 }
 
-http_server_options callerOptions()
+http_server_options callerOptions(const node_settings &settings)
 {
     http_server_options options;
-    options.connectionsMax = 20'000;
+    options.connectionsMax = static_cast<std::size_t>(settings.callersMax);
     return options;
 }
 
 } // namespace
 
-node_daemon::node_daemon(const node_settings &settings, const key_ring &keys)
+node_daemon::node_daemon(const node_settings &settings, interface_profile profile, const key_ring &keys)
     : m_settings(settings)
+    , m_profile(std::move(profile))
     , m_self(settings.advertised.text())
     , m_seed(settings.seed != 0 ? settings.seed : randomSeed())
     , m_incarnation(randomSeed())
-    , m_control(m_loop,
-                settings,
-                keys,
-                m_self,
-                m_seed,
-                {[this] { m_calls.reconfigure(); },
-                 [this](const member &entry) { memberChanged(entry); },
-                 [this](const node_id &node) { m_calls.routes().remove(node); }})
-    , m_calls(m_loop, settings, m_self, m_incarnation, m_seed, callPeers())
+    , m_control(
+          m_loop,
+          settings,
+          m_profile,
+          keys,
+          m_self,
+          m_seed,
+          {[this] { configured(); }, [this](const member &entry) { memberChanged(entry); }, [this](const node_id &node) { m_calls.routes().remove(node); }})
+    , m_calls(m_loop, settings, m_profile, m_self, m_incarnation, m_seed, callPeers())
     , m_links(m_loop, {settings.nodes}, m_self, keys, m_incarnation, linkHandlers())
-    , m_callers(m_loop, callerOptions(), [this](const http_exchange_ptr &exchange) { m_calls.accept(exchange); })
+    , m_callers(m_loop, callerOptions(settings), [this](const http_exchange_ptr &exchange) { m_calls.accept(exchange); })
+    , m_readiness(m_loop, {}, [this](const http_exchange_ptr &exchange) { answerReadiness(exchange); })
     , m_upstream(
           m_loop,
           {settings.upstream},
+          m_profile.readNotice,
           [this](const announcement &said) {
               m_calls.announced(said);
               m_control.setSelf(m_calls.service(), m_calls.ready());
@@ -123,6 +126,13 @@
         }
     }
 
+    if (m_settings.readiness) {
+        const auto listening = m_readiness.listen(*m_settings.readiness);
+        if (!listening) {
+            return listening.error();
+        }
+    }
+
     // Step 3. The end: a first signal and any further one mean the same
     for (const int signal : {SIGTERM, SIGINT}) {
         m_watches.push_back(m_loop.onSignal(signal, [this] { shutDown(); }));
@@ -182,9 +192,27 @@
     m_calls.reconfigure();
 }
 
+void node_daemon::answerReadiness(const http_exchange_ptr &exchange) const
+{
+    if (targetPath(exchange->request().target) != m_profile.readinessPath) {
+        exchange->respond({404, {}, {}});
+    } else {
+        exchange->respond({ready() ? 200 : 503, {}, {}});
+    }
+}
+
+/// Takes up another configuration.
+void node_daemon::configured()
+{
+    const auto &limits = m_control.inForce().limits;
+    m_callers.setLimits({limits.headerBytes, limits.bodyBytes}, limits.messageTimeout, limits.idleTimeout);
+    m_calls.reconfigure();
+}
+
 bool node_daemon::ready() const
 {
-    return m_control.settled() && m_calls.onceKeys().remembersFreshKeys() && !m_shuttingDown;
+    const bool configured = m_profile.operatorsDocument.key.empty() || m_control.versions().version() > 0;
+    return configured && m_control.settled() && m_calls.onceKeys().remembersFreshKeys() && !m_shuttingDown;
 }
 
 /// Reads the settings again and takes up what is safe to change while running: the level of the log.
@@ -210,6 +238,7 @@
     logEvent(log_level::info, "shutdown_started", {});
     m_shutdownAt = monotonicNow();
     m_calls.beginShutdown();
+    m_callers.startClosing();
     m_control.leave();
     m_watches.push_back(m_loop.every(idleCheck, [this] { finishWhenIdle(); }));
 }
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -15,7 +15,7 @@
 class node_daemon
 {
 public:
-    node_daemon(const node_settings &settings, const key_ring &keys);
+    node_daemon(const node_settings &settings, interface_profile profile, const key_ring &keys);
     ~node_daemon();
 
     /// Opens all sockets.
@@ -29,12 +29,15 @@
     void memberChanged(const member &entry);
     void noteState(const member &entry);
     void tellSuspicions(const std::vector<suspicion> &news);
+    void answerReadiness(const http_exchange_ptr &exchange) const;
+    void configured();
     void reload();
     void shutDown();
     void finishWhenIdle();
     bool ready() const;
 
     const node_settings &m_settings;
+    const interface_profile m_profile;
     event_loop m_loop;
     node_id m_self;
     std::uint64_t m_seed;
@@ -43,6 +46,7 @@
     call_path m_calls;
     node_link m_links;
     http_server m_callers;
+    http_server m_readiness;
     announcement_server m_upstream;
     operator_server m_operators;
     operator_api m_api;
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -48,6 +48,7 @@
     {"silence_factor", &tunables::silenceFactor, 1, 100},
     {"other_domain_factor", &tunables::otherDomainFactor, 1, 100},
     {"retry_ratio", &tunables::retryRatio, 0, 1},
+    {"connections_ahead", &tunables::connectionsAhead, 0, 10},
     {"retry_burst", &tunables::retryBurst, 0, 1e6},
 };
 
@@ -70,6 +71,7 @@
     {"candidates_own", &tunables::candidatesOwn, 1, 100},
     {"candidates_all", &tunables::candidatesAll, 1, 100},
     {"reroutes", &tunables::reroutes, 0, 10},
+    {"limit_adaptive", &tunables::limitAdaptive, 0, 1},
 };
 
 void readTunables(settings_reader place, tunables &tuning)
@@ -91,6 +93,10 @@
     read.callers = place.child("callers").requiredAddress();
     read.upstream = place.child("upstream").requiredAddress();
     read.operators = place.child("operators").requiredAddress();
+    auto readiness = place.child("readiness");
+    if (readiness.present()) {
+        read.readiness = readiness.requiredAddress();
+    }
     read.nodes = place.child("nodes").requiredAddress();
     auto advertised = place.child("advertised");
     read.advertised = advertised.present() ? advertised.requiredAddress() : read.nodes;
@@ -122,15 +128,20 @@
     auto root = settings_reader::fromFile(path, mistakes);
     read.name = root.child("name").requiredText();
     read.domain = root.child("failure_domain").requiredText();
+    read.service = root.child("service").text({});
+    read.interface = root.child("interface").choice(interfaceNames, read.interface);
     readListen(root.child("listen"), read);
     readPlatform(root.child("platform"), read);
     auto keys = root.child("keys");
     keys.each([&](settings_reader item) { read.keyFiles.push_back(item.requiredText()); });
-    if (read.keyFiles.empty()) {
-        keys.mistake("expected a list of one or two key files");
+    read.trustNetwork = root.child("trust_network").flag(false);
+    if (read.keyFiles.empty() && !read.trustNetwork) {
+        keys.mistake("expected a list of one or two key files, or trust_network: true");
     }
     root.child("seeds").each([&](settings_reader item) { read.seeds.push_back(item.requiredAddress()); });
     read.fallbackConfiguration = root.child("fallback_configuration").text({});
+    read.callersMax = root.child("callers_max").integer(read.callersMax, 1, 1'000'000);
+    read.connectionIdle = root.child("connection_idle_ms").span(read.connectionIdle, 1, oneHourMs);
     read.startWait = root.child("start_wait_ms").span(read.startWait, 0, oneHourMs);
     read.shutdownWait = root.child("shutdown_wait_ms").span(read.shutdownWait, 0, oneHourMs);
     read.mode = root.child("policy").choice(policyModeNames, read.mode);
@@ -144,6 +155,10 @@
 key_ring readKeys(const node_settings &settings, std::vector<settings_mistake> &mistakes)
 {
     key_ring keys;
+    if (settings.trustNetwork && settings.keyFiles.empty()) {
+        // Guards against damaged packets and other deployments on the same addresses, not against attackers.
+        keys.emplace_back("a deployment that trusts its network");
+    }
     for (const auto &file : settings.keyFiles) {
         const auto key = shared_key::read(file);
         if (key) {
--- a/bench/standins/store_standin.cpp
+++ b/bench/standins/store_standin.cpp
@@ -1,7 +1,7 @@
 #include "store_standin.h"
 
 #include "turmericspar/operator/operator_server.h"
-#include "turmericspar/platform/store.h"
+#include "turmericspar/store/store.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/bench/tests/seed_board_test.cpp
+++ b/bench/tests/seed_board_test.cpp
@@ -1,7 +1,7 @@
 /// @file seed_board_test.cpp
 /// Seeds in the store, under leases that lapse.
 #include "store_standin.h"
-#include "turmericspar/platform/seed_board.h"
+#include "turmericspar/store/seed_board.h"
 
 #include <gtest/gtest.h>
 
--- a/bench/tests/version_store_test.cpp
+++ b/bench/tests/version_store_test.cpp
@@ -1,7 +1,7 @@
 /// @file version_store_test.cpp
 /// Versions in the platform's store: racing operators, lost answers, outages, against the stand-in.
 #include "store_standin.h"
-#include "turmericspar/platform/version_store.h"
+#include "turmericspar/store/version_store.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/base/include/turmericspar/base/http.h
+++ b/packages/base/include/turmericspar/base/http.h
@@ -122,6 +122,7 @@
 
     http_request &request() { return m_request; }
     http_response &response() { return m_response; }
+    const http_response &response() const { return m_response; }
 
 private:
     struct hooks;
--- a/packages/base/include/turmericspar/base/http_client.h
+++ b/packages/base/include/turmericspar/base/http_client.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 struct bufferevent;
 
@@ -22,6 +23,13 @@
     http_response response; ///< the whole answer, if error is not set
 };
 
+/// A field by which the answers of a peer tell to which request they belong.
+struct http_echo
+{
+    std::string field; ///< its name; empty if answers carry none
+    std::string value;
+};
+
 /// A connection that is opened ahead, reused, and replaced by its owner once it is closed.
 class http_client
 {
@@ -42,12 +50,15 @@
     /// Sends a request; the connection must be idle. A request given while connecting waits for the connection.
     /// @param timeout from now to the whole answer
     /// @param onAnswer told exactly once, in a later turn, unless the client is destroyed first
-    void send(const http_request &request, millis timeout, answer_handler onAnswer);
+    /// @param echo what the answer must carry; an answer to another request is passed over
+    void send(const http_request &request, millis timeout, answer_handler onAnswer, http_echo echo = {});
 
     /// @return whether the connection is open.
     bool open() const { return m_state == state::open; }
     /// @return whether the connection can take no more requests.
     bool closed() const { return m_state == state::closed; }
+    /// @return how long the peer keeps the connection open between requests, if it told.
+    std::optional<millis> keptOpenFor() const { return m_keptOpenFor; }
     /// @return whether a request is in progress.
     bool busy() const { return static_cast<bool>(m_onAnswer); }
 
@@ -55,6 +66,8 @@
     enum class state { closed, connecting, open };
 
     void read();
+    void answerComplete();
+    bool answerBelongs() const;
     void event(short what);
     void close(errc reason);
     void finish(http_outcome outcome);
@@ -66,6 +79,9 @@
     state m_state = state::closed;
     bufferevent *m_bev = nullptr;
     bool m_sent = false;
+    bool m_outOfStep = false; ///< whether an answer came that belongs to another request
+    http_echo m_echo;
+    std::optional<millis> m_keptOpenFor;
     std::string m_pending;
     state_handler m_onChange;
     answer_handler m_onAnswer;
--- a/packages/base/include/turmericspar/base/http_server.h
+++ b/packages/base/include/turmericspar/base/http_server.h
@@ -21,7 +21,7 @@
 class http_exchange
 {
 public:
-    http_exchange(http_server *server, std::uint64_t connection, http_request request, endpoint peer);
+    http_exchange(http_server *server, std::uint64_t connection, std::uint64_t number, http_request request, endpoint peer);
 
     const http_request &request() const { return m_request; }
     http_request &request() { return m_request; }
@@ -39,6 +39,7 @@
 
     http_server *m_server;
     std::uint64_t m_connection;
+    std::uint64_t m_number; ///< among the requests of its connection
     http_request m_request;
     endpoint m_peer;
     bool m_done = false;
@@ -54,6 +55,7 @@
     millis messageTimeout{10'000}; ///< from a message's first byte to its last
     millis idleTimeout{75'000}; ///< between messages, and for a peer that does not take its answer
     std::size_t connectionsMax = 4096;
+    std::size_t pipelinedMax = 16; ///< requests of one connection that may be in progress at once; they are answered in order
 };
 
 /// Owns the listening socket and its connections. It must outlive its exchanges' answers; destroy it after the loop has ended.
@@ -71,6 +73,12 @@
     /// @return the address bound (its port chosen by the host if it was 0), or what went wrong
     result<endpoint> listen(const endpoint &address);
 
+    /// Changes the bounds for the connections to come.
+    void setLimits(http_limits limits, millis messageTimeout, millis idleTimeout);
+
+    /// Ends each connection after the answer that is due on it, but goes on taking new ones.
+    void startClosing();
+
     /// Takes no further connections, and ends each present one after the answer that is due on it.
     void stopAccepting();
 
@@ -82,7 +90,7 @@
     class connection;
 
     void accept(int descriptor, const sockaddr *address);
-    void respond(std::uint64_t connection, const http_response &response);
+    void respond(std::uint64_t connection, std::uint64_t number, const http_response &response);
     void drop(std::uint64_t connection);
 
     event_loop &m_loop;
--- a/packages/base/src/http_client.cpp
+++ b/packages/base/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/base/http_client.h"
 
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -8,6 +9,23 @@
 
 namespace turmericspar {
 
+namespace {
+
+/// Reads the span out of a Keep-Alive field: "timeout=5, max=100".
+std::optional<millis> keepAliveTimeout(const std::string &text)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto position = text.find(name);
+    if (position == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(text.data() + position + name.size(), text.data() + text.size(), seconds);
+    return error == std::errc{} ? std::optional<millis>(oneSecond * seconds) : std::nullopt;
+}
+
+} // namespace
+
 http_client::http_client(event_loop &loop, endpoint peer, http_limits limits)
     : m_loop(loop), m_peer(std::move(peer)), m_reader(http_reader::role::client, limits)
 {
@@ -37,8 +55,10 @@
     }
 }
 
-void http_client::send(const http_request &request, millis timeout, answer_handler onAnswer)
+void http_client::send(const http_request &request, millis timeout, answer_handler onAnswer, http_echo echo)
 {
+    m_echo = std::move(echo);
+    m_outOfStep = false;
     m_onAnswer = std::move(onAnswer);
     m_sent = false;
     m_pending = serialize(request, m_peer.text());
@@ -77,14 +97,39 @@
     if (m_reader.current() == http_reader::state::failed) {
         close(m_reader.errorStatus() == 413 ? errc::message_too_large : errc::malformed_message);
     } else if (m_reader.current() == http_reader::state::complete) {
-        const bool reusable = m_reader.keepAlive() && evbuffer_get_length(input) == 0;
-        http_outcome outcome{{}, true, std::move(m_reader.response())};
+        answerComplete();
+    }
+}
+
+/// @return whether the answer that was read belongs to the request in progress.
+bool http_client::answerBelongs() const
+{
+    return m_echo.field.empty() || m_reader.response().fields.get(m_echo.field) == m_echo.value;
+}
+
+/// Ends the request with the answer that was read, unless the answer belongs to another request.
+void http_client::answerComplete()
+{
+    // Step 1. An answer to another request is passed over; what belongs to this one may still come
+    if (!answerBelongs()) {
+        m_outOfStep = true;
         m_reader.reset();
-        if (!reusable) {
-            close(errc::ok);
-        }
-        finish(std::move(outcome));
+        read();
+        return;
     }
+
+    // Step 2. The connection carries another request only if both sides are at the same place in it
+    const bool wholeRequestTaken = evbuffer_get_length(bufferevent_get_output(m_bev)) == 0;
+    const bool nothingElseCame = evbuffer_get_length(bufferevent_get_input(m_bev)) == 0;
+    const bool reusable = m_reader.keepAlive() && wholeRequestTaken && nothingElseCame && !m_outOfStep;
+    http_outcome outcome{{}, true, std::move(m_reader.response())};
+    const auto seconds = keepAliveTimeout(outcome.response.fields.get("Keep-Alive"));
+    m_keptOpenFor = seconds ? seconds : m_keptOpenFor;
+    m_reader.reset();
+    if (!reusable) {
+        close(errc::ok);
+    }
+    finish(std::move(outcome));
 }
 
 void http_client::event(short what)
@@ -106,8 +151,11 @@
         });
         return;
     }
-    m_reader.feedEnd();
-    if (busy() && m_reader.current() == http_reader::state::complete) {
+    // Only an orderly end completes an answer whose length the end of the connection tells.
+    if ((what & BEV_EVENT_EOF) != 0) {
+        m_reader.feedEnd();
+    }
+    if (busy() && m_reader.current() == http_reader::state::complete && answerBelongs()) {
         http_outcome outcome{{}, true, std::move(m_reader.response())};
         close(errc::ok);
         finish(std::move(outcome));
--- a/packages/base/src/http_server.cpp
+++ b/packages/base/src/http_server.cpp
@@ -1,10 +1,13 @@
 #include "turmericspar/base/http_server.h"
 
+#include <algorithm>
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <unistd.h>
 
 namespace turmericspar {
@@ -16,6 +19,9 @@
 /// How much a connection reads ahead while its present request is being worked on.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 
+/// How long a connection waits for its peer to end it too, after the last answer was written.
+constexpr millis lingerTimeout{1000};
+
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -40,54 +46,98 @@
     ~connection()
     {
         bufferevent_free(m_bev);
-        if (const auto exchange = std::exchange(m_exchange, nullptr)) {
-            exchange->gone();
+        for (const auto &pending : std::exchange(m_pending, {})) {
+            if (pending.exchange) {
+                pending.exchange->gone();
+            }
         }
     }
 
-    /// Answers the request in progress and goes on to the next one.
-    void respond(const http_response &response)
+    /// Takes the answer to a request; it is written as soon as all answers before it are.
+    void respond(std::uint64_t number, const http_response &response)
     {
-        const bool keepAlive = m_reader.keepAlive() && !m_server.m_stopping && m_reader.current() == http_reader::state::complete;
-        const bool omitBody = m_exchange && m_exchange->request().method == "HEAD";
-        m_exchange.reset();
-        const auto text = serialize(response, omitBody, keepAlive);
-        bufferevent_write(m_bev, text.data(), text.size());
-        m_timer->restart(m_server.m_options.idleTimeout);
-        m_closing = !keepAlive;
-        if (keepAlive) {
-            m_reader.reset();
-            // The next pipelined request is read in a turn of its own, so that answers given at once do not nest.
-            bufferevent_trigger(m_bev, EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
+        const auto found = std::find_if(m_pending.begin(), m_pending.end(), [&](const pending_exchange &pending) { return pending.number == number; });
+        if (found == m_pending.end()) {
+            return;
         }
+        found->answer = response;
+        writeAnswers();
     }
 
     /// Ends the connection as soon as nothing is due on it.
     void closeWhenIdle()
     {
-        if (!m_exchange && !m_reader.started()) {
+        if (m_pending.empty() && !m_reader.started()) {
             m_closing = true;
             closeIfWritten();
         }
     }
 
 private:
+    /// A request whose answer is not yet written.
+    struct pending_exchange
+    {
+        std::uint64_t number = 0;
+        http_exchange_ptr exchange; ///< empty for a message that could not be read
+        bool omitBody = false;
+        bool keepAlive = true;
+        std::optional<http_response> answer;
+    };
+
     static connection *self(void *context) { return static_cast<connection *>(context); }
     static void onRead(bufferevent *, void *context) { self(context)->read(); }
     static void onWritten(bufferevent *, void *context) { self(context)->closeIfWritten(); }
     static void onEvent(bufferevent *, short, void *context) { self(context)->m_server.drop(self(context)->m_id); }
 
+    /// Ends the own side once all is written, and waits for the peer to end its side: bytes that were not read when a connection
+    /// is closed would reset it, and the last answer could be lost.
     void closeIfWritten()
     {
-        if (m_closing && evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
-            m_server.m_loop.defer([&server = m_server, id = m_id] { server.drop(id); });
+        if (m_closing && !m_ended && evbuffer_get_length(bufferevent_get_output(m_bev)) == 0) {
+            m_ended = true;
+            shutdown(bufferevent_getfd(m_bev), SHUT_WR);
+            m_timer->restart(lingerTimeout);
+        }
+    }
+
+    /// Writes the answers that are due next, in the order of their requests.
+    void writeAnswers()
+    {
+        const bool wasFull = m_pending.size() >= m_server.m_options.pipelinedMax;
+        while (!m_closing && !m_pending.empty() && m_pending.front().answer) {
+            const auto pending = std::move(m_pending.front());
+            m_pending.pop_front();
+            const bool isLast = m_pending.empty() && !m_reader.started();
+            const bool keepAlive = pending.keepAlive && !(m_server.m_stopping && isLast);
+            const auto text = serialize(*pending.answer, pending.omitBody, keepAlive);
+            bufferevent_write(m_bev, text.data(), text.size());
+            m_closing = !keepAlive;
+        }
+        if (m_closing) {
+            bufferevent_trigger(m_bev, EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
+            // Requests behind the answer that closes count as never read.
+            for (const auto &dropped : std::exchange(m_pending, {})) {
+                if (dropped.exchange) {
+                    dropped.exchange->gone();
+                }
+            }
+        }
+        if (m_pending.empty()) {
+            m_timer->restart(m_server.m_options.idleTimeout);
+        }
+        if (wasFull && !m_closing) {
+            // What was held back is read in a turn of its own, so that answers given at once do not nest.
+            bufferevent_trigger(m_bev, EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
         }
     }
 
     void read()
     {
         auto *input = bufferevent_get_input(m_bev);
-        while (!m_exchange && !m_closing && evbuffer_get_length(input) > 0) {
+        if (m_closing) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+        }
+        while (!m_lastRead && !m_closing && m_pending.size() < m_server.m_options.pipelinedMax && evbuffer_get_length(input) > 0) {
             if (!m_reader.started()) {
                 m_timer->restart(m_server.m_options.messageTimeout);
             }
@@ -104,16 +154,24 @@
 
     void handleState()
     {
+        const auto number = m_nextNumber;
         switch (m_reader.current()) {
         case http_reader::state::reading:
             return;
         case http_reader::state::failed:
-            respond({m_reader.errorStatus(), {}, {}});
+            ++m_nextNumber;
+            m_lastRead = true;
+            m_pending.push_back({number, nullptr, false, false, http_response{m_reader.errorStatus(), {}, {}}});
+            writeAnswers();
             return;
         case http_reader::state::complete:
+            ++m_nextNumber;
             m_timer->stop();
-            m_exchange = std::make_shared<http_exchange>(&m_server, m_id, std::move(m_reader.request()), m_peer);
-            m_server.m_onRequest(m_exchange);
+            m_lastRead = !m_reader.keepAlive();
+            const auto exchange = std::make_shared<http_exchange>(&m_server, m_id, number, std::move(m_reader.request()), m_peer);
+            m_pending.push_back({number, exchange, exchange->request().method == "HEAD", m_reader.keepAlive(), {}});
+            m_reader.reset();
+            m_server.m_onRequest(exchange);
             return;
         }
     }
@@ -124,19 +182,22 @@
     http_reader m_reader;
     bufferevent *m_bev;
     watch_ptr m_timer;
-    http_exchange_ptr m_exchange;
-    bool m_closing = false;
+    std::deque<pending_exchange> m_pending;
+    std::uint64_t m_nextNumber = 0;
+    bool m_lastRead = false; ///< whether no further request is read
+    bool m_closing = false; ///< whether no further answer is written
+    bool m_ended = false; ///< whether the own side of the connection is closed
 };
 
-http_exchange::http_exchange(http_server *server, std::uint64_t connection, http_request request, endpoint peer)
-    : m_server(server), m_connection(connection), m_request(std::move(request)), m_peer(std::move(peer))
+http_exchange::http_exchange(http_server *server, std::uint64_t connection, std::uint64_t number, http_request request, endpoint peer)
+    : m_server(server), m_connection(connection), m_number(number), m_request(std::move(request)), m_peer(std::move(peer))
 {
 }
 
 void http_exchange::respond(const http_response &response)
 {
     if (!std::exchange(m_done, true)) {
-        m_server->respond(m_connection, response);
+        m_server->respond(m_connection, m_number, response);
     }
 }
 
@@ -182,12 +243,24 @@
     return endpoint::fromSockaddr(reinterpret_cast<const sockaddr *>(&bound));
 }
 
+void http_server::setLimits(http_limits limits, millis messageTimeout, millis idleTimeout)
+{
+    m_options.limits = limits;
+    m_options.messageTimeout = messageTimeout;
+    m_options.idleTimeout = idleTimeout;
+}
+
 void http_server::stopAccepting()
 {
-    m_stopping = true;
     if (m_listener) {
         evconnlistener_free(std::exchange(m_listener, nullptr));
     }
+    startClosing();
+}
+
+void http_server::startClosing()
+{
+    m_stopping = true;
     for (const auto &[id, open] : m_connections) {
         open->closeWhenIdle();
     }
@@ -205,11 +278,12 @@
     m_connections.emplace(id, std::make_shared<connection>(*this, id, descriptor, endpoint::fromSockaddr(address)));
 }
 
-void http_server::respond(std::uint64_t connection, const http_response &response)
+void http_server::respond(std::uint64_t connection, std::uint64_t number, const http_response &response)
 {
     const auto found = m_connections.find(connection);
     if (found != m_connections.end()) {
-        found->second->respond(response);
+        const auto keep = found->second;
+        keep->respond(number, response);
     }
 }
 
--- a/packages/caller/include/turmericspar/caller/call_fields.h
+++ b/packages/caller/include/turmericspar/caller/call_fields.h
@@ -31,10 +31,44 @@
 inline constexpr const char *rank = "Call-Rank";
 } // namespace field
 
+/// The header fields of one way to speak with callers and upstreams. A field whose name is empty is neither read nor written.
+struct call_dialect
+{
+    // From callers, and handed on to upstreams
+    std::string klass = field::klass;
+    std::string deadline = field::deadline; ///< milliseconds for which the answer is of use
+    std::string requestId = field::requestId;
+    std::string intent = field::intent;
+    std::string context = field::context; ///< names the call for which this one is made
+    std::string idempotencyKey = field::idempotencyKey;
+
+    // Only to upstreams
+    std::string rank = field::rank;
+    std::string callerService; ///< the service beside which the call entered
+    std::string instance; ///< the upstream instance for which the call is meant
+
+    // From upstreams
+    std::string notRun = field::outcome; ///< by this field a refusal says that the call did not run
+    std::string notRunValue = "not-run"; ///< its value; empty if any value says so
+    std::string load; ///< "running,waiting,slots"
+    std::string signature; ///< by which a whole answer of an upstream is known; empty if answers carry none
+    bool echoesRequestId = false; ///< whether each answer carries the id of its request
+
+    // To callers
+    std::string outcome = field::outcome;
+    std::string reason = field::reason;
+    std::string refusedBy = field::refusedBy;
+    std::string finalFailure = field::finalFailure;
+    std::string configVersion = field::configVersion;
+    bool fractionalRetryAfter = false; ///< whether Retry-After may have decimals
+    bool statusProves = false; ///< whether 408, 421, 429 and 503 always prove that a call did not run
+};
+
 /// What the header of a call says.
 struct call_description
 {
     std::string service;
+    const route *declaredRoute = nullptr; ///< if the configuration has routes
     std::string klass; ///< as named, or by default
     int rank = 0;
     std::string requestId; ///< empty if the caller gave none
@@ -55,14 +89,17 @@
 };
 
 /// Reads the description of a call out of its header.
+/// @param dialect the names of the fields
 /// @param declared the configuration in force
+/// @param draw a number from 0 to 1, evenly spread, that chooses among the targets of a route
 /// @param mistake set if the call can't be accepted
-call_description describeCall(const http_request &request, const configuration &declared, std::optional<call_mistake> &mistake);
+call_description
+describeCall(const http_request &request, const call_dialect &dialect, const configuration &declared, double draw, std::optional<call_mistake> &mistake);
 
 /// @return the status by which a caller is told of a refusal.
-int statusFor(refusal_reason reason, call_outcome outcome);
+int statusFor(const call_dialect &dialect, refusal_reason reason, call_outcome outcome);
 
-/// Removes every field of a request that the system itself writes.
-void removeCallFields(http_fields &fields);
+/// Removes every field of a message that the system itself writes.
+void removeCallFields(const call_dialect &dialect, http_fields &fields);
 
 } // namespace turmericspar
--- a/packages/caller/src/call_fields.cpp
+++ b/packages/caller/src/call_fields.cpp
@@ -38,23 +38,24 @@
 }
 
 /// Reads a timeout in milliseconds.
-std::optional<millis> readTimeout(const std::string &text, std::optional<call_mistake> &mistake)
+std::optional<millis> readTimeout(const std::string &name, const std::string &text, std::optional<call_mistake> &mistake)
 {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc{} || end != text.data() + text.size() || !(value >= 1) || value > timeoutMostMs) {
-        mistake = call_mistake{refusal_reason::malformed, std::string(field::deadline) + ": expected milliseconds from 1 to 3600000"};
+        mistake = call_mistake{refusal_reason::malformed, name + ": expected milliseconds from 1 to 3600000"};
         return std::nullopt;
     }
     return millis{value};
 }
 
-call_intent readIntent(const http_request &request, const configuration &declared, const std::string &service, std::optional<call_mistake> &mistake)
+call_intent readIntent(
+    const http_request &request, const call_dialect &dialect, const configuration &declared, const std::string &service, std::optional<call_mistake> &mistake)
 {
-    if (const auto *named = request.fields.find(field::intent)) {
+    if (const auto *named = request.fields.find(dialect.intent)) {
         const auto found = intentNames.find(*named);
         if (!found) {
-            mistake = call_mistake{refusal_reason::malformed, std::string(field::intent) + ": expected one of: " + intentNames.list()};
+            mistake = call_mistake{refusal_reason::malformed, dialect.intent + ": expected one of: " + intentNames.list()};
         }
         return found.value_or(call_intent::once);
     }
@@ -63,9 +64,66 @@
     return isIdempotent(request.method) || declaredRepeatable ? call_intent::repeatable : call_intent::once;
 }
 
+/// @return the target of a route that a number from 0 to 1 falls on.
+const std::string &chooseTarget(const route &chosen, double draw)
+{
+    double sum = 0;
+    for (const auto &target : chosen.targets) {
+        sum += target.weight;
+    }
+    double rest = draw * sum;
+    for (const auto &target : chosen.targets) {
+        rest -= target.weight;
+        if (rest < 0) {
+            return target.service;
+        }
+    }
+    return chosen.targets.back().service;
+}
+
+/// Fills a description from the route that the operators declared for the request.
+void describeByRoute(const http_request &request,
+                     const configuration &declared,
+                     const std::string &host,
+                     double draw,
+                     call_description &call,
+                     std::optional<call_mistake> &mistake)
+{
+    call.declaredRoute = declared.findRoute(host, request.target);
+    if (!call.declaredRoute) {
+        mistake = call_mistake{refusal_reason::unknown_service, "no route is declared for this host and path"};
+        return;
+    }
+    call.service = chooseTarget(*call.declaredRoute, draw);
+    call.intent = call.declaredRoute->intent;
+    const auto *klass = declared.findClass(call.declaredRoute->klass, call.service, call.klass);
+    call.rank = klass->rank;
+    call.classDeadline = klass->deadline;
+}
+
+/// Reads the class of work that a request names, and by it the rank.
+void describeByClass(
+    const http_request &request, const call_dialect &dialect, const configuration &declared, call_description &call, std::optional<call_mistake> &mistake)
+{
+    const auto *klass = declared.findClass(request.fields.get(dialect.klass), call.service, call.klass);
+    if (!klass) {
+        mistake = call_mistake{refusal_reason::unknown_class, dialect.klass + ": no class of this name is declared"};
+        return;
+    }
+    call.rank = klass->rank;
+    call.classDeadline = klass->deadline;
+    const auto asked = urgency(request.fields.get(field::priority));
+    if (asked && request.fields.count(dialect.klass) == 0) {
+        // A caller may ask for a lower rank by urgency, never for a higher one than its class has.
+        call.rank = std::max(call.rank, std::min(*asked, static_cast<int>(declared.ranks.size()) - 1));
+    }
+    call.intent = readIntent(request, dialect, declared, call.service, mistake);
+}
+
 } // namespace
 
-call_description describeCall(const http_request &request, const configuration &declared, std::optional<call_mistake> &mistake)
+call_description
+describeCall(const http_request &request, const call_dialect &dialect, const configuration &declared, double draw, std::optional<call_mistake> &mistake)
 {
     call_description call;
 
@@ -76,41 +134,38 @@
         return call;
     }
 
-    // Step 2. The class of work, and by it the rank
-    const auto *klass = declared.findClass(request.fields.get(field::klass), call.service, call.klass);
-    if (!klass) {
-        mistake = call_mistake{refusal_reason::unknown_class, std::string(field::klass) + ": no class of this name is declared"};
-        return call;
+    // Step 2. The class of work, the rank, and whether it may be repeated
+    if (declared.routes.empty()) {
+        describeByClass(request, dialect, declared, call, mistake);
+    } else {
+        describeByRoute(request, declared, call.service, draw, call, mistake);
     }
-    call.rank = klass->rank;
-    call.classDeadline = klass->deadline;
-    const auto asked = urgency(request.fields.get(field::priority));
-    if (asked && request.fields.count(field::klass) == 0) {
-        // A caller may ask for a lower rank by urgency, never for a higher one than its class has.
-        call.rank = std::max(call.rank, std::min(*asked, static_cast<int>(declared.ranks.size()) - 1));
+    if (mistake) {
+        return call;
     }
 
     // Step 3. Time and identity
-    if (const auto *timeout = request.fields.find(field::deadline)) {
-        call.timeout = readTimeout(*timeout, mistake);
+    if (const auto *timeout = request.fields.find(dialect.deadline)) {
+        call.timeout = readTimeout(dialect.deadline, *timeout, mistake);
     }
-    call.requestId = request.fields.get(field::requestId);
-    call.parent = request.fields.get(field::context);
-    call.idempotencyKey = request.fields.get(field::idempotencyKey);
+    call.requestId = request.fields.get(dialect.requestId);
+    call.parent = request.fields.get(dialect.context);
+    call.idempotencyKey = request.fields.get(dialect.idempotencyKey);
     if (std::max({call.requestId.size(), call.parent.size(), call.idempotencyKey.size()}) > nameMax) {
         mistake = call_mistake{refusal_reason::malformed, "request ids, contexts and keys have at most 200 characters"};
     }
 
     call.firstAttempt = request.fields.get(field::attempt) == "1";
     call.needed = request.fields.get(field::needed) == "1";
-
-    // Step 4. Whether it may be repeated
-    call.intent = readIntent(request, declared, call.service, mistake);
     return call;
 }
 
-int statusFor(refusal_reason reason, call_outcome outcome)
+int statusFor(const call_dialect &dialect, refusal_reason reason, call_outcome outcome)
 {
+    if (dialect.statusProves && reason != refusal_reason::unknown_service && reason != refusal_reason::malformed) {
+        const bool late = reason == refusal_reason::deadline;
+        return outcome == call_outcome::not_run ? 503 : (late ? 504 : 502);
+    }
     switch (reason) {
     case refusal_reason::unknown_service:
         return 404;
@@ -134,10 +189,21 @@
     }
 }
 
-void removeCallFields(http_fields &fields)
+void removeCallFields(const call_dialect &dialect, http_fields &fields)
 {
-    for (const auto *name : {field::context, field::outcome, field::reason, field::refusedBy, field::finalFailure, field::configVersion, field::rank}) {
-        fields.remove(name);
+    const auto names = {&dialect.context,
+                        &dialect.outcome,
+                        &dialect.reason,
+                        &dialect.refusedBy,
+                        &dialect.finalFailure,
+                        &dialect.configVersion,
+                        &dialect.rank,
+                        &dialect.callerService,
+                        &dialect.instance};
+    for (const auto *name : names) {
+        if (!name->empty()) {
+            fields.remove(*name);
+        }
     }
 }
 
--- a/packages/policy/include/turmericspar/policy/call.h
+++ b/packages/policy/include/turmericspar/policy/call.h
@@ -40,9 +40,10 @@
     broken, ///< the connection broke while it ran
     shed_by_upstream, ///< the upstream itself refused it
     shutting_down,
+    unconfigured, ///< no configuration is known yet
     in_doubt, ///< it may have run where nobody can be asked
 };
-inline constexpr name_table<refusal_reason, 18> refusalNames{{"none",
+inline constexpr name_table<refusal_reason, 19> refusalNames{{"none",
                                                               "overload",
                                                               "deadline",
                                                               "draining",
@@ -59,6 +60,7 @@
                                                               "broken",
                                                               "shed-by-upstream",
                                                               "shutting-down",
+                                                              "unconfigured",
                                                               "in-doubt"}};
 
 /// What the caller says about running a request twice.
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -10,6 +10,8 @@
 struct tunables
 {
     // Concurrency limit of an upstream
+    int limitAdaptive = 1; ///< 0 keeps the announced slots as the limit, where the upstream states them exactly
+    double connectionsAhead = 1.25; ///< connections kept open, as a multiple of the limit; 0 opens them when needed
     millis limitWindow{100}; ///< least time between two corrections
     int limitSamples = 30; ///< number of answers between two corrections, or two rounds of a small limit
     int limitSamplesLeast = 6; ///< least number of answers between two corrections
--- a/packages/policy/include/turmericspar/policy/version_log.h
+++ b/packages/policy/include/turmericspar/policy/version_log.h
@@ -53,7 +53,7 @@
     /// @return whether it was appended
     bool append(const version_record &record);
 
-    /// Goes on from a snapshot if it is newer than what is known.
+    /// Goes on from a snapshot if it is sound and newer than what is known.
     /// @return whether it was taken
     bool restore(const version_snapshot &snapshot);
 
--- a/packages/policy/src/configuration.cpp
+++ b/packages/policy/src/configuration.cpp
@@ -11,6 +11,9 @@
 constexpr double limitPerSecondMax = 1e7;
 constexpr double deadlineMaxMs = 3'600'000;
 constexpr int retriesMax = 10;
+constexpr double bytesMax = 1 << 30;
+constexpr double connectionsMax = 100'000;
+constexpr double weightMax = 1e6;
 
 /// Walks a document and notes what is wrong, with the place.
 class document_checker
@@ -105,7 +108,7 @@
 void readService(const std::string &name, const json &value, configuration &read, document_checker &check)
 {
     const std::string path = "/services/" + name;
-    if (!check.object(value, path, {"retries", "repeatable", "default_class"})) {
+    if (!check.object(value, path, {"retries", "repeatable", "default_class", "connections", "health_path"})) {
         return;
     }
     service_policy made;
@@ -121,9 +124,86 @@
     if (made.defaultClass && !read.classes.contains(*made.defaultClass)) {
         check.mistake(path + "/default_class", "expected one of the names in /classes");
     }
+    if (const auto connections = check.number(value, path, "connections", 1, connectionsMax)) {
+        made.connections = static_cast<int>(*connections);
+    }
+    made.healthPath = check.text(value, path, "health_path").value_or("");
     read.services[name] = made;
 }
 
+/// Reads a span in milliseconds, if it is there.
+std::optional<millis> readSpan(const json &value, const std::string &path, const char *key, document_checker &check)
+{
+    const auto count = check.number(value, path, key, 1, deadlineMaxMs);
+    return count ? std::optional<millis>(millis{*count}) : std::nullopt;
+}
+
+void readTargets(const json &value, const std::string &path, route &made, const configuration &read, document_checker &check)
+{
+    if (!value.contains("services") || !value["services"].is_object() || value["services"].empty()) {
+        check.mistake(path + "/services", "expected an object of services with their weights");
+        return;
+    }
+    for (const auto &[service, weight] : value["services"].items()) {
+        if (!read.services.contains(service)) {
+            check.mistake(path + "/services/" + service, "expected one of the names in /services");
+        } else if (!weight.is_number() || weight.get<double>() < 0 || weight.get<double>() > weightMax) {
+            check.mistake(path + "/services/" + service, "expected a weight from 0 to 1000000");
+        } else {
+            made.targets.push_back({service, weight.get<double>()});
+        }
+    }
+}
+
+void readRoute(const std::string &name, const json &value, configuration &read, document_checker &check)
+{
+    const std::string path = "/routes/" + name;
+    if (!check.object(value, path, {"host", "prefix", "services", "class", "repeatable", "attempts", "timeout_ms", "target_latency_ms"})) {
+        return;
+    }
+    route made;
+    made.name = name;
+    made.host = check.text(value, path, "host").value_or("");
+    made.prefix = check.text(value, path, "prefix").value_or("");
+    if (made.host.empty()) {
+        check.mistake(path + "/host", "expected a host name");
+    }
+    if (made.prefix.empty() || made.prefix.front() != '/' || made.prefix.back() != '/') {
+        check.mistake(path + "/prefix", "expected a path that begins and ends with a slash");
+    }
+    readTargets(value, path, made, read, check);
+    made.klass = check.text(value, path, "class").value_or(read.defaultClass);
+    if (!read.classes.contains(made.klass)) {
+        check.mistake(path + "/class", "expected one of the names in /classes");
+    }
+    if (value.contains("repeatable") && !value["repeatable"].is_boolean()) {
+        check.mistake(path + "/repeatable", "expected true or false");
+    } else {
+        made.intent = value.value("repeatable", false) ? call_intent::repeatable : call_intent::once;
+    }
+    made.attempts = static_cast<int>(check.number(value, path, "attempts", 1, retriesMax + 1).value_or(1));
+    made.timeout = readSpan(value, path, "timeout_ms", check);
+    made.targetLatency = readSpan(value, path, "target_latency_ms", check);
+    const bool isTaken =
+        std::any_of(read.routes.begin(), read.routes.end(), [&](const route &other) { return other.host == made.host && other.prefix == made.prefix; });
+    if (isTaken) {
+        check.mistake(path, "expected a host and prefix that no other route has");
+    }
+    read.routes.push_back(std::move(made));
+}
+
+void readLimits(const json &value, caller_limits &limits, document_checker &check)
+{
+    const std::string path = "/limits";
+    if (!check.object(value, path, {"header_bytes", "body_bytes", "message_timeout_ms", "idle_timeout_ms"})) {
+        return;
+    }
+    limits.headerBytes = static_cast<std::size_t>(check.number(value, path, "header_bytes", 1, bytesMax).value_or(static_cast<double>(limits.headerBytes)));
+    limits.bodyBytes = static_cast<std::size_t>(check.number(value, path, "body_bytes", 0, bytesMax).value_or(static_cast<double>(limits.bodyBytes)));
+    limits.messageTimeout = readSpan(value, path, "message_timeout_ms", check).value_or(limits.messageTimeout);
+    limits.idleTimeout = readSpan(value, path, "idle_timeout_ms", check).value_or(limits.idleTimeout);
+}
+
 } // namespace
 
 const work_class *configuration::findClass(const std::string &named, const std::string &service, std::string &name) const
@@ -137,11 +217,34 @@
     return found == classes.end() ? nullptr : &found->second;
 }
 
+void configuration::indexRoutes()
+{
+    m_routesByHost.clear();
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        m_routesByHost[routes[i].host].push_back(i);
+    }
+    for (auto &[host, indices] : m_routesByHost) {
+        std::sort(
+            indices.begin(), indices.end(), [this](std::size_t left, std::size_t right) { return routes[left].prefix.size() > routes[right].prefix.size(); });
+    }
+}
+
+const route *configuration::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routesByHost.find(std::string(host));
+    if (found == m_routesByHost.end()) {
+        return nullptr;
+    }
+    const auto plain = path.substr(0, path.find('?'));
+    const auto match = std::find_if(found->second.begin(), found->second.end(), [&](std::size_t index) { return plain.starts_with(routes[index].prefix); });
+    return match == found->second.end() ? nullptr : &routes[*match];
+}
+
 configuration parseConfiguration(const json &document, std::vector<document_mistake> &mistakes)
 {
     document_checker check(mistakes);
     configuration read;
-    if (!check.object(document, "", {"ranks", "classes", "services", "default_class", "retries_per_request"})) {
+    if (!check.object(document, "", {"ranks", "classes", "services", "default_class", "retries_per_request", "routes", "limits"})) {
         return read;
     }
 
@@ -172,6 +275,19 @@
         check.mistake("/default_class", "expected one of the names in /classes");
     }
     read.retriesPerRequest = static_cast<int>(check.number(document, "", "retries_per_request", 0, retriesMax).value_or(read.retriesPerRequest));
+
+    // Step 5. Routes, which refer to classes and services
+    if (document.contains("routes") && !document["routes"].is_object()) {
+        check.mistake("/routes", "expected an object");
+    } else if (document.contains("routes")) {
+        for (const auto &[name, value] : document["routes"].items()) {
+            readRoute(name, value, read, check);
+        }
+    }
+    read.indexRoutes();
+    if (document.contains("limits")) {
+        readLimits(document["limits"], read.limits, check);
+    }
     return read;
 }
 
--- a/packages/policy/src/limiter.cpp
+++ b/packages/policy/src/limiter.cpp
@@ -22,6 +22,9 @@
 
 void limiter::answered(millis ownTime, bool shed, int running, millis startedAt, millis now)
 {
+    if (m_tuning.limitAdaptive == 0) {
+        return;
+    }
     m_runningMost = std::max(m_runningMost, running);
     ++m_ended;
     if (startedAt < m_loweredAt) {
--- a/packages/policy/src/version_log.cpp
+++ b/packages/policy/src/version_log.cpp
@@ -81,7 +81,9 @@
 
 bool version_log::restore(const version_snapshot &snapshot)
 {
-    if (snapshot.version <= m_version) {
+    std::vector<document_mistake> mistakes;
+    parseConfiguration(snapshot.document, mistakes);
+    if (snapshot.version <= m_version || !mistakes.empty()) {
         return false;
     }
     m_version = snapshot.version;
--- a/packages/platform/include/turmericspar/platform/seed_board.h
+++ b/packages/store/include/turmericspar/store/seed_board.h
@@ -3,7 +3,7 @@
 /// starts finds somebody to ask.
 #pragma once
 
-#include "turmericspar/platform/store.h"
+#include "turmericspar/store/store.h"
 
 #include <functional>
 #include <string>
--- a/packages/platform/include/turmericspar/platform/version_store.h
+++ b/packages/store/include/turmericspar/store/version_store.h
@@ -2,8 +2,8 @@
 /// The configuration versions in the platform's store: one key for each patch, created only if it is absent.
 #pragma once
 
-#include "turmericspar/platform/store.h"
-#include "turmericspar/policy/version_log.h"
+#include "turmericspar/store/store.h"
+#include "turmericspar/store/version_source.h"
 
 #include <functional>
 #include <optional>
@@ -12,41 +12,23 @@
 
 namespace turmericspar {
 
-/// What became of a submitted patch.
-struct submission_result
-{
-    enum class verdict {
-        accepted,
-        conflict, ///< the present version is another one
-        invalid, ///< the document would not be sound
-        unavailable, ///< not accepted: the store could not be reached
-        not_known, ///< it may have been accepted; ask again with the same submission id
-    };
-    verdict what = verdict::not_known;
-    std::uint64_t version = 0; ///< the accepted or the present version
-    std::vector<document_mistake> mistakes;
-    std::string detail;
-};
-
 /// Keeps a version log in step with the store and submits patches to it.
-class version_store
+class version_store : public version_source
 {
 public:
-    using submission_handler = std::function<void(submission_result)>;
-
     /// @param prefix keys of this deployment begin with it
     /// @param onAdvance told after the log has grown
     version_store(event_loop &loop, store &access, std::string prefix, version_log &log, std::function<void()> onAdvance, std::uint64_t seed);
 
     /// Starts or ends watching; while it watches, it also writes snapshots now and then.
-    void setWatching(bool watching);
-    bool watching() const { return m_watching; }
+    void setWatching(bool watching) override;
+    bool watching() const override { return m_watching; }
     /// Reads the store once.
-    void refresh(std::function<void(bool reached)> done);
+    void refresh(std::function<void(bool reached)> done) override;
     /// Submits a patch stated against a version.
-    void submit(version_record record, std::uint64_t base, submission_handler done);
+    void submit(version_record record, std::uint64_t base, submission_handler done) override;
     /// @return whether the last contact with the store succeeded.
-    bool reachable() const { return m_reachable; }
+    bool reachable() const override { return m_reachable; }
 
 private:
     void watchOnce();
--- a/packages/platform/src/seed_board.cpp
+++ b/packages/store/src/seed_board.cpp
@@ -1,4 +1,4 @@
-#include "turmericspar/platform/seed_board.h"
+#include "turmericspar/store/seed_board.h"
 
 #include "turmericspar/base/log.h"
 
--- a/packages/platform/src/version_store.cpp
+++ b/packages/store/src/version_store.cpp
@@ -1,4 +1,4 @@
-#include "turmericspar/platform/version_store.h"
+#include "turmericspar/store/version_store.h"
 
 #include "turmericspar/base/log.h"
 
--- a/packages/upstream/include/turmericspar/upstream/upstream_pool.h
+++ b/packages/upstream/include/turmericspar/upstream/upstream_pool.h
@@ -16,6 +16,8 @@
 struct upstream_pool_options
 {
     millis connectTimeout{1000};
+    millis idleMost{4000}; ///< after it, an idle connection is not used again where the upstream did not say how long it keeps one
+    millis idleMargin{1000}; ///< so long before the upstream would close an idle connection it is not used again
     int openAtOnce = 16; ///< connections that may be opening at the same time ahead of need
     http_limits limits{64 * 1024, 64 * 1024 * 1024};
 };
@@ -36,7 +38,8 @@
     void release();
 
     /// Sends a call; the pool answers exactly once, unless the call is cancelled.
-    void run(call_id id, const http_request &request, millis timeout);
+    /// @param echo what the answer must carry
+    void run(call_id id, const http_request &request, millis timeout, http_echo echo);
     /// Replaces the idle connections on which nothing was heard since a time: what lost one of them may have lost them all.
     void renewIdle(millis heardBefore);
     /// Ends a call's connection, which is how an upstream learns of a cancellation.
@@ -54,6 +57,7 @@
     };
 
     void openAhead();
+    bool isFresh(const idle_client &idle, millis now) const;
     client_ptr takeOpen();
     client_ptr makeClient();
     void settle(http_client *opened);
@@ -65,6 +69,7 @@
     endpoint m_address;
     int m_wanted = 0;
     int m_most = 0;
+    bool m_kept = false; ///< whether connections are kept after their calls
     std::vector<idle_client> m_idle;
     std::unordered_map<http_client *, client_ptr> m_opening;
     std::unordered_map<call_id, client_ptr> m_busy;
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/upstream/announcement.h"
 
+#include "turmericspar/base/log.h"
 #include "turmericspar/base/problem.h"
 
 #include <nlohmann/json.hpp>
@@ -73,8 +74,28 @@
     return made;
 }
 
-announcement_server::announcement_server(event_loop &loop, announcement_options options, announced_handler onAnnounced, gone_handler onGone)
+result<upstream_notice> readNotice(const http_request &request)
+{
+    if (request.target != "/announcement") {
+        return failure{errc::not_found, "read announcement", "upstream", "announcements go to /announcement"};
+    }
+    if (request.method == "DELETE") {
+        return upstream_notice{upstream_notice::kind::left, {}};
+    }
+    if (request.method != "PUT") {
+        return failure{errc::rejected, "read announcement", "upstream", "use PUT or DELETE"};
+    }
+    const auto parsed = parseAnnouncement(request.body);
+    if (!parsed) {
+        return parsed.error();
+    }
+    return upstream_notice{upstream_notice::kind::announced, *parsed};
+}
+
+announcement_server::announcement_server(
+    event_loop &loop, announcement_options options, notice_reader reader, announced_handler onAnnounced, gone_handler onGone)
     : m_options(std::move(options))
+    , m_reader(std::move(reader))
     , m_onAnnounced(std::move(onAnnounced))
     , m_onGone(std::move(onGone))
     , m_server(loop, announcementOptions(), [this](const http_exchange_ptr &exchange) { answer(exchange); })
@@ -91,28 +112,29 @@
 
 void announcement_server::answer(const http_exchange_ptr &exchange)
 {
-    const auto &request = exchange->request();
-    if (request.target != "/announcement") {
-        exchange->respond(problemResponse(404, "not-found", "announcements go to /announcement"));
-        return;
-    }
-    if (request.method == "DELETE") {
-        gone("said goodbye");
-        exchange->respond({204, {}, {}});
+    // Step 1. What was said
+    const auto notice = m_reader(exchange->request());
+    if (!notice) {
+        const auto code = notice.error().code;
+        const int status = code == errc::not_found ? 404 : (code == errc::rejected ? 405 : 400);
+        logFailure(log_level::warning, "announcement_refused", notice.error());
+        exchange->respond(problemResponse(status, "malformed", notice.error().detail));
         return;
     }
-    if (request.method != "PUT") {
-        exchange->respond(problemResponse(405, "method", "use PUT or DELETE"));
-        return;
-    }
-    const auto parsed = parseAnnouncement(request.body);
-    if (!parsed) {
-        exchange->respond(problemResponse(400, "malformed", parsed.error().detail));
-        return;
+
+    // Step 2. Only the newest word counts; one that was overtaken is acknowledged all the same
+    const auto &said = notice->said;
+    if (notice->what == upstream_notice::kind::left) {
+        if (m_order.left(said.instance)) {
+            gone("said goodbye");
+        }
+    } else if (m_order.announced({said.instance, said.startedAt, said.sequence})) {
+        m_present = true;
+        m_silence->restart(m_options.life);
+        m_onAnnounced(said);
+    } else {
+        logEvent(log_level::info, "announcement_outdated", {{"instance", said.instance}, {"sequence", said.sequence.value_or(0)}});
     }
-    m_present = true;
-    m_silence->restart(m_options.life);
-    m_onAnnounced(*parsed);
     exchange->respond({204, {}, {}});
 }
 
--- a/packages/upstream/src/upstream_pool.cpp
+++ b/packages/upstream/src/upstream_pool.cpp
@@ -23,12 +23,14 @@
     }
     m_most = most;
     m_wanted = std::min(wanted, most);
+    m_kept = true;
     openAhead();
 }
 
 void upstream_pool::release()
 {
     m_wanted = 0;
+    m_kept = false;
     m_idle.clear();
     m_opening.clear();
 }
@@ -41,7 +43,8 @@
 /// Opens connections up to the wanted number, a few at a time.
 void upstream_pool::openAhead()
 {
-    std::erase_if(m_idle, [](const idle_client &idle) { return idle.client->closed(); });
+    const millis now = monotonicNow();
+    std::erase_if(m_idle, [&](const idle_client &idle) { return idle.client->closed() || !isFresh(idle, now); });
     auto total = static_cast<int>(m_idle.size() + m_busy.size() + m_opening.size());
     while (total < m_wanted && static_cast<int>(m_opening.size()) < m_options.openAtOnce) {
         auto made = makeClient();
@@ -69,24 +72,34 @@
 
 upstream_pool::client_ptr upstream_pool::takeOpen()
 {
+    const millis now = monotonicNow();
     while (!m_idle.empty()) {
-        auto client = std::move(m_idle.back().client);
+        auto idle = std::move(m_idle.back());
         m_idle.pop_back();
-        if (client->open()) {
-            return client;
+        if (idle.client->open() && isFresh(idle, now)) {
+            return std::move(idle.client);
         }
     }
     return nullptr;
 }
 
-void upstream_pool::run(call_id id, const http_request &request, millis timeout)
+/// @return whether the upstream will surely not close an idle connection before a request reaches it.
+bool upstream_pool::isFresh(const idle_client &idle, millis now) const
+{
+    const auto kept = idle.client->keptOpenFor();
+    const millis limit = kept ? *kept - m_options.idleMargin : m_options.idleMost;
+    return now - idle.heardAt < limit;
+}
+
+void upstream_pool::run(call_id id, const http_request &request, millis timeout, http_echo echo)
 {
     auto client = takeOpen();
     if (!client) {
         client = makeClient();
         client->connect(std::min(timeout, m_options.connectTimeout), {});
     }
-    client->send(request, timeout, [this, id](http_outcome outcome) { finished(id, std::move(outcome)); });
+    client->send(
+        request, timeout, [this, id](http_outcome outcome) { finished(id, std::move(outcome)); }, std::move(echo));
     m_busy.emplace(id, std::move(client));
 }
 
@@ -95,7 +108,7 @@
     const auto found = m_busy.find(id);
     auto client = std::move(found->second);
     m_busy.erase(found);
-    if (client->open() && static_cast<int>(m_idle.size() + m_busy.size()) < m_most && m_wanted > 0) {
+    if (client->open() && static_cast<int>(m_idle.size() + m_busy.size()) < m_most && m_kept) {
         m_idle.push_back({std::move(client), monotonicNow()});
     }
     m_onDone(id, std::move(outcome));
