A service whose upstreams are all away is no unknown service

Ruled out: a configuration that was missing; those answers were 503 already. Change: entry says no_upstream; whether a service exists is judged before, from the configuration.

--- a/packages/policy/src/entry.cpp
+++ b/packages/policy/src/entry.cpp
@@ -44,10 +44,9 @@
     const bool byTurns = m_mode == policy_mode::none;
     const node_id node = byTurns ? m_routes.chooseByTurns(call.service, call.tried) : m_routes.choose(call.service, call.tried, now);
     if (node.empty()) {
-        const bool known = m_routes.knows(call.service);
+        // Whether the service exists at all was judged before: now no upstream of it is there.
         const auto outcome = call.mayHaveRun ? call_outcome::unknown : call_outcome::not_run;
-        const auto reason = known ? refusal_reason::no_upstream : refusal_reason::unknown_service;
-        finish(id, outcome, reason, call.attempt > 0, call.attempt > 0, actions);
+        finish(id, outcome, refusal_reason::no_upstream, call.attempt > 0, call.attempt > 0, actions);
         return;
     }
     ++call.attempt;
