--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -36,7 +36,7 @@
     double serviceTimeMargin = 0.8; ///< share of the usual service time that a deadline must leave for a call to be started
 
     // Window of a class whose requests make calls
-    double windowDecrease = 0.85; ///< step down when calls fail below, as a factor
+    double windowDecrease = 0.75; ///< step down when calls fail below, as a factor
     double windowIncrease = 1.0; ///< step up, spread over as many answers as the window is wide
     double windowLeast = 1; ///< requests that may always run
     double windowFullShare = 0.8; ///< use of the window from which it counts as full
