Calls take the standing of the call they are probably made for, and nothing else; windows close only where many requests fail below

A guessed parent's end cancelled the calls tied to it; with a hundred calls running the guess is often wrong, the parents of the cancelled calls failed, and their windows closed. A window also closed on any single failure. Change: a call copies class, rank and standing of its kin and is not entered in the ledger; a window closes when more than a tenth of the last requests failed below; congestedBelow is gone.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -123,16 +123,14 @@
 
     // Step 2. Where requests name none, the call that runs beside this node and fits
     const auto deadline = description.timeout ? std::optional<millis>(now + *description.timeout) : std::nullopt;
-    const auto finding = m_parents.find(description.klass, deadline);
-    if (finding.parent != 0) {
-        if (const auto context = m_ledger.addChild(finding.parent, id, now)) {
-            call.parent = finding.parent;
-            call.needed = finding.unique;
-            call.context = *context;
-        }
-    } else if (finding.relative != 0) {
-        call.context = m_served.at(finding.relative).context;
+    const auto kin = m_served.find(m_parents.find(description.klass, deadline));
+    if (kin != m_served.end()) {
+        // It stands where that call stands. It is not tied to its end: with many calls running, the guess is wrong at times.
+        call.context = kin->second.context;
         ++call.context.depth;
+        call.context.intent = own.intent;
+        call.context.onceKey.clear();
+        call.context.permit = 0;
     }
     call.context.root = own.root;
     call.context.retries = std::min(call.context.retries, own.retries);
@@ -342,9 +340,6 @@
     const millis now = monotonicNow();
     if (call.context.depth > 0) {
         m_levelsBelow.try_emplace(call.context.klass, m_settings.tuning).first->second.report(call.service, result.level, now);
-        if (result.level > call.context.place.importance()) {
-            m_serving.congestedBelow(call.context.klass, now);
-        }
     }
     const auto attempt = static_cast<int>(reply.attempt());
     call.answer = std::make_unique<wire::CallReply>(std::move(reply));
--- /dev/null
+++ b/packages/base/tests/http_connection_test.cpp
@@ -0,0 +1,284 @@
+/// @file http_connection_test.cpp
+/// What peers do wrong on open connections, told by bytes: late and foreign answers, cut ones, early ones, pipelined requests.
+#include "turmericspar/base/http_client.h"
+#include "turmericspar/base/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+
+namespace {
+
+using namespace turmericspar;
+
+/// A peer that answers the first bytes it reads with given bytes, and then may end the connection.
+class scripted_peer
+{
+public:
+    enum class ending { stay, close, reset };
+
+    scripted_peer(event_loop &loop, std::string bytes, ending how) : m_bytes(std::move(bytes)), m_how(how)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const auto accepted = [](evconnlistener *listener, evutil_socket_t descriptor, sockaddr *, int, void *self) {
+            static_cast<scripted_peer *>(self)->accept(evconnlistener_get_base(listener), descriptor);
+        };
+        m_listener = evconnlistener_new_bind(
+            loop.base(), accepted, this, LEV_OPT_CLOSE_ON_FREE, 16, reinterpret_cast<sockaddr *>(&address), static_cast<int>(sizeof(address)));
+    }
+    ~scripted_peer()
+    {
+        for (auto *connection : m_connections) {
+            bufferevent_free(connection);
+        }
+        evconnlistener_free(m_listener);
+    }
+    scripted_peer(const scripted_peer &) = delete;
+    scripted_peer &operator=(const scripted_peer &) = delete;
+
+    endpoint address() const
+    {
+        sockaddr_storage bound{};
+        socklen_t length = sizeof(bound);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
+        return endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&bound));
+    }
+
+private:
+    void accept(event_base *base, evutil_socket_t descriptor)
+    {
+        auto *connection = bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+        m_connections.push_back(connection);
+        const auto onRead = [](bufferevent *bev, void *self) { static_cast<scripted_peer *>(self)->answer(bev); };
+        const auto onWritten = [](bufferevent *bev, void *self) { static_cast<scripted_peer *>(self)->written(bev); };
+        bufferevent_setcb(connection, onRead, onWritten, nullptr, this);
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+    }
+
+    void answer(bufferevent *connection)
+    {
+        if (m_answered) {
+            return;
+        }
+        m_answered = true;
+        bufferevent_write(connection, m_bytes.data(), m_bytes.size());
+    }
+
+    void written(bufferevent *connection)
+    {
+        const auto descriptor = bufferevent_getfd(connection);
+        if (m_how == ending::close) {
+            shutdown(descriptor, SHUT_WR);
+        } else if (m_how == ending::reset) {
+            const linger abort{1, 0};
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+            std::erase(m_connections, connection);
+            bufferevent_free(connection);
+        }
+    }
+
+    std::string m_bytes;
+    ending m_how;
+    bool m_answered = false;
+    evconnlistener *m_listener = nullptr;
+    std::vector<bufferevent *> m_connections;
+};
+
+/// Sends a request with id "mine" and tells what became of it and whether the connection is kept.
+struct asked
+{
+    http_outcome outcome;
+    bool kept = false;
+};
+
+asked ask(const std::string &bytes, scripted_peer::ending how, std::size_t bodySize = 0)
+{
+    event_loop loop;
+    scripted_peer peer(loop, bytes, how);
+    http_client client(loop, peer.address(), {});
+    client.connect({1000}, {});
+    http_request request;
+    request.method = bodySize > 0 ? "POST" : "GET";
+    request.body.assign(bodySize, 'x');
+    asked result;
+    client.send(request,
+                {500},
+                [&](http_outcome outcome) {
+                    result.outcome = std::move(outcome);
+                    result.kept = client.open();
+                    loop.quit();
+                },
+                {"X-Id", "mine"});
+    loop.run();
+    return result;
+}
+
+TEST(http_client_echo, takes_its_own_answer_and_keeps_the_connection)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok", scripted_peer::ending::stay);
+    EXPECT_FALSE(seen.outcome.error);
+    EXPECT_EQ(seen.outcome.response.body, "ok");
+    EXPECT_TRUE(seen.kept);
+}
+
+TEST(http_client_echo, passes_over_a_late_answer_to_another_request_and_gives_the_connection_up)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+                          scripted_peer::ending::stay);
+    EXPECT_FALSE(seen.outcome.error);
+    EXPECT_EQ(seen.outcome.response.body, "ok");
+    EXPECT_FALSE(seen.kept);
+}
+
+TEST(http_client_echo, never_takes_the_answer_to_another_request_alone)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong", scripted_peer::ending::stay);
+    EXPECT_EQ(seen.outcome.error, errc::timeout);
+}
+
+TEST(http_client_framing, bytes_behind_an_answer_end_the_connection)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200", scripted_peer::ending::stay);
+    EXPECT_EQ(seen.outcome.response.body, "ok");
+    EXPECT_FALSE(seen.kept);
+}
+
+TEST(http_client_framing, an_answer_without_length_ends_with_its_connection)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nwhole", scripted_peer::ending::close);
+    EXPECT_FALSE(seen.outcome.error);
+    EXPECT_EQ(seen.outcome.response.body, "whole");
+}
+
+TEST(http_client_framing, an_answer_without_length_whose_connection_is_reset_is_not_whole)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\npart", scripted_peer::ending::reset);
+    EXPECT_TRUE(seen.outcome.error);
+}
+
+TEST(http_client_framing, an_answer_that_ends_early_is_not_whole)
+{
+    const auto seen = ask("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\npart", scripted_peer::ending::close);
+    EXPECT_TRUE(seen.outcome.error);
+}
+
+TEST(http_client_framing, a_connection_whose_long_request_was_answered_early_carries_no_other)
+{
+    // Far more than the buffers of a connection hold, so that most of the body is still unsent when the answer comes.
+    constexpr std::size_t longBody = 64 * 1024 * 1024;
+    const auto seen = ask("HTTP/1.1 413 Content Too Large\r\nX-Id: mine\r\nContent-Length: 0\r\n\r\n", scripted_peer::ending::stay, longBody);
+    EXPECT_FALSE(seen.outcome.error);
+    EXPECT_EQ(seen.outcome.response.status, 413);
+    EXPECT_FALSE(seen.kept);
+}
+
+/// A server whose requests wait until the test answers them, and a raw connection to it.
+class pipelined_server : public testing::Test
+{
+protected:
+    pipelined_server()
+        : server(loop, {}, [this](http_exchange_ptr exchange) { waiting.push_back(std::move(exchange)); }), address(*server.listen({"127.0.0.1", 0}))
+    {
+        sockaddr_storage storage;
+        const auto length = address.toSockaddr(storage);
+        connection = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        const auto onRead = [](bufferevent *bev, void *self) {
+            auto *test = static_cast<pipelined_server *>(self);
+            std::array<char, 4096> buffer{};
+            const auto size = bufferevent_read(bev, buffer.data(), buffer.size());
+            test->received.append(buffer.data(), size);
+        };
+        const auto onEvent = [](bufferevent *, short what, void *self) {
+            static_cast<pipelined_server *>(self)->ended = static_cast<pipelined_server *>(self)->ended || (what & BEV_EVENT_EOF) != 0;
+        };
+        bufferevent_setcb(connection, onRead, nullptr, onEvent, this);
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+        bufferevent_socket_connect(connection, reinterpret_cast<sockaddr *>(&storage), static_cast<int>(length));
+    }
+    ~pipelined_server() override
+    {
+        if (connection) {
+            bufferevent_free(connection);
+        }
+    }
+
+    void write(const std::string &text) { bufferevent_write(connection, text.data(), text.size()); }
+    void runFor(millis span)
+    {
+        const auto timer = loop.after(span, [this] { loop.quit(); });
+        loop.run();
+    }
+
+    event_loop loop;
+    std::vector<http_exchange_ptr> waiting;
+    http_server server;
+    endpoint address;
+    bufferevent *connection = nullptr;
+    std::string received;
+    bool ended = false;
+};
+
+TEST_F(pipelined_server, works_on_pipelined_requests_side_by_side_and_answers_in_order)
+{
+    write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor({50});
+    ASSERT_EQ(waiting.size(), 2U);
+    waiting[1]->respond({200, {}, "second"});
+    runFor({50});
+    EXPECT_TRUE(received.empty());
+    waiting[0]->respond({200, {}, "first"});
+    runFor({50});
+    const auto first = received.find("first");
+    const auto second = received.find("second");
+    EXPECT_NE(first, std::string::npos);
+    EXPECT_NE(second, std::string::npos);
+    EXPECT_LT(first, second);
+}
+
+TEST_F(pipelined_server, requests_behind_an_answer_that_closes_are_given_up)
+{
+    write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor({50});
+    ASSERT_EQ(waiting.size(), 2U);
+    waiting[0]->respond({200, {}, "first"});
+    waiting[1]->respond({200, {}, "second"});
+    runFor({50});
+    EXPECT_NE(received.find("second"), std::string::npos);
+    EXPECT_TRUE(ended);
+}
+
+TEST_F(pipelined_server, a_leaving_server_answers_what_it_has_read_and_then_closes)
+{
+    write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor({50});
+    ASSERT_EQ(waiting.size(), 1U);
+    server.startClosing();
+    runFor({50});
+    EXPECT_FALSE(ended);
+    waiting[0]->respond({200, {}, "answer"});
+    runFor({50});
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+    EXPECT_NE(received.find("answer"), std::string::npos);
+    EXPECT_TRUE(ended);
+}
+
+TEST_F(pipelined_server, a_caller_that_goes_gives_up_all_its_requests)
+{
+    write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor({50});
+    ASSERT_EQ(waiting.size(), 2U);
+    int gone = 0;
+    for (const auto &exchange : waiting) {
+        exchange->onGone([&] { ++gone; });
+    }
+    bufferevent_free(std::exchange(connection, nullptr));
+    runFor({50});
+    EXPECT_EQ(gone, 2);
+}
+
+} // namespace
--- a/packages/policy/include/turmericspar/policy/class_window.h
+++ b/packages/policy/include/turmericspar/policy/class_window.h
@@ -21,8 +21,6 @@
     /// @param failedBelow whether it failed because of a call that it made
     /// @param startedAt when it was given to the upstream
     void ended(bool failedBelow, millis startedAt, millis now);
-    /// Learns that a service below would refuse requests like these if they were new.
-    void congestedBelow(millis now);
 
     /// @return the number that may run at once; 0 if there is no bound.
     double window() const { return m_active ? m_window : 0; }
@@ -32,6 +30,7 @@
 
     const tunables &m_tuning;
     bool m_active = false;
+    double m_failedShare = 0; ///< of the last requests, those that failed because of their calls
     double m_window = 0;
     int m_running = 0;
     millis m_closedAt{-1e12};
--- a/packages/policy/include/turmericspar/policy/parent_finder.h
+++ b/packages/policy/include/turmericspar/policy/parent_finder.h
@@ -6,20 +6,11 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 
 namespace turmericspar {
 
-/// What was found of a request that came from beside an upstream.
-struct parent_finding
-{
-    call_id parent = 0; ///< the running call for which it is made; 0 if that can't be told
-    call_id relative = 0; ///< else a running call of a class that makes such calls; 0 if there is none
-    bool unique = false; ///< whether no other running call could be the parent
-};
-
 /// Ties calls to the calls that run at the upstream beside this node. An upstream gives its own calls no more time than it has left
 /// itself, so the deadline of a call mostly is that of its parent. Classes that often match in this way are known to be called;
 /// requests of all others are taken for requests from outside, whatever deadline they happen to have. It knows no socket and no clock.
@@ -33,10 +24,11 @@
 
     /// @return whether calls of a class were seen to make calls.
     bool makesCalls(const std::string &klass) const;
-    /// Looks for the parent of a request.
+    /// Looks for the call for which a request is made.
+    /// @return the running call whose deadline fits, else a running call of a class that makes such calls; 0 for a request from outside
     /// @param klass class of the request by its own route
     /// @param deadline of the request; nothing if it names none
-    parent_finding find(const std::string &klass, std::optional<millis> deadline);
+    call_id find(const std::string &klass, std::optional<millis> deadline);
 
 private:
     struct running_call
@@ -49,10 +41,11 @@
     {
         double asked = 0;
         double matched = 0;
-        std::set<std::string> parents; ///< classes of the calls that matched
+        std::map<std::string, double> parents; ///< matches by the class of the running call
     };
 
     bool isCalled(const call_habit &habit) const;
+    bool isParent(const call_habit &habit, const std::string &klass) const;
     call_id relativeOf(const call_habit &habit) const;
 
     std::unordered_map<call_id, running_call> m_running;
--- a/packages/policy/include/turmericspar/policy/serving.h
+++ b/packages/policy/include/turmericspar/policy/serving.h
@@ -70,8 +70,6 @@
     void offer(offered_call &call, double levelBelow, millis now, std::vector<serving_action> &actions);
     /// Learns that a started call has ended.
     void ended(call_id id, const run_report &report, millis now, std::vector<serving_action> &actions);
-    /// Learns that a service below would refuse requests of a class if they were new.
-    void congestedBelow(const std::string &klass, millis now);
     /// Gives a call up: it is dropped if it waits and cancelled if it runs.
     void giveUp(call_id id, refusal_reason reason, millis now, std::vector<serving_action> &actions);
     /// Drops what can no longer be answered in time and starts what has room. Call it often.
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -37,10 +37,11 @@
 
     // Window of a class whose requests make calls
     double windowDecrease = 0.75; ///< step down when calls fail below, as a factor
-    double windowIncrease = 1.0; ///< step up, spread over as many answers as the window is wide
+    double windowIncrease = 0.1; ///< step up, as a share of the window, 1 at least; spread over as many answers as the window is wide
+    double windowFailures = 0.1; ///< share of requests that fail below from which the window closes
+    double windowBlend = 0.05; ///< weight of a new end of a request among those before
     double windowLeast = 1; ///< requests that may always run
     double windowFullShare = 0.8; ///< use of the window from which it counts as full
-    millis windowPause{500}; ///< least time between two steps down for congestion that was told
     millis windowMemory{3000}; ///< time without a step down after which a window that is not full is given up
 
     // Shed level
--- a/packages/policy/src/parent_finder.cpp
+++ b/packages/policy/src/parent_finder.cpp
@@ -17,6 +17,8 @@
 constexpr double judgedFrom = 20;
 /// Share of its requests that must match: chance alone gives a few in a hundred.
 constexpr double calledShare = 0.2;
+/// Share of the matches from which a class counts as one that makes such calls: others match by chance.
+constexpr double parentShare = 0.15;
 /// Requests that are remembered; older ones count less and less.
 constexpr double memory = 400;
 
@@ -51,62 +53,62 @@
 
 bool parent_finder::makesCalls(const std::string &klass) const
 {
-    return std::any_of(m_habits.begin(), m_habits.end(), [&](const auto &entry) { return isCalled(entry.second) && entry.second.parents.contains(klass); });
+    return std::any_of(m_habits.begin(), m_habits.end(), [&](const auto &entry) { return isCalled(entry.second) && isParent(entry.second, klass); });
+}
+
+bool parent_finder::isParent(const call_habit &habit, const std::string &klass) const
+{
+    const auto found = habit.parents.find(klass);
+    return found != habit.parents.end() && found->second >= habit.matched * parentShare;
 }
 
 /// @return a running call of a class that makes such calls.
 call_id parent_finder::relativeOf(const call_habit &habit) const
 {
     for (const auto &[deadline, id] : m_byDeadline) {
-        if (habit.parents.contains(m_running.at(id).klass)) {
+        if (isParent(habit, m_running.at(id).klass)) {
             return id;
         }
     }
     return 0;
 }
 
-parent_finding parent_finder::find(const std::string &klass, std::optional<millis> deadline)
+call_id parent_finder::find(const std::string &klass, std::optional<millis> deadline)
 {
-    parent_finding finding;
-
-    // Step 1. The running call whose deadline is nearest, and whether another one is near too
-    int near = 0;
+    // Step 1. The running call whose deadline is nearest
+    call_id nearest = 0;
     double least = latest.count - earliest.count;
     if (deadline) {
-        for (auto position = m_byDeadline.lower_bound(*deadline + earliest); position != m_byDeadline.end() && position->first <= *deadline + latest;
-             ++position) {
-            ++near;
+        auto position = m_byDeadline.lower_bound(*deadline + earliest);
+        for (; position != m_byDeadline.end() && position->first <= *deadline + latest; ++position) {
             const double distance = std::fabs((position->first - *deadline - usual).count);
             if (distance < least) {
                 least = distance;
-                finding.parent = position->second;
+                nearest = position->second;
             }
         }
     }
-    finding.unique = near == 1;
 
     // Step 2. Whether requests of this class are calls at all
     auto &habit = m_habits[klass];
     if (habit.asked >= memory) {
         habit.asked /= 2;
         habit.matched /= 2;
+        for (auto &[parent, matches] : habit.parents) {
+            matches /= 2;
+        }
     }
     ++habit.asked;
-    if (finding.parent != 0) {
+    if (nearest != 0) {
         ++habit.matched;
-        if (finding.unique) {
-            habit.parents.insert(m_running.at(finding.parent).klass);
-        }
+        ++habit.parents[m_running.at(nearest).klass];
     }
     if (!isCalled(habit)) {
-        return {};
+        return 0;
     }
 
-    // Step 3. A call with a shorter deadline of its own is tied to no parent, but to its kind
-    if (finding.parent == 0) {
-        finding.relative = relativeOf(habit);
-    }
-    return finding;
+    // Step 3. A call with a shorter deadline of its own fits none, but its kind is known
+    return nearest != 0 ? nearest : relativeOf(habit);
 }
 
 } // namespace turmericspar
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -184,14 +184,6 @@
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
 }
 
-void serving::congestedBelow(const std::string &klass, millis now)
-{
-    const auto found = m_windows.find(klass);
-    if (found != m_windows.end()) {
-        found->second.congestedBelow(now);
-    }
-}
-
 void serving::giveUp(call_id id, refusal_reason reason, millis now, std::vector<serving_action> &actions)
 {
     if (m_queue.remove(id)) {
