--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -4,6 +4,7 @@
 #include "turmericspar/base/http_server.h"
 
 #include <arpa/inet.h>
+#include <csignal>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -98,6 +99,7 @@
 
 asked ask(const std::string &bytes, scripted_peer::ending how, std::size_t bodySize = 0)
 {
+    std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
     scripted_peer peer(loop, bytes, how);
     http_client client(loop, peer.address(), {});
--- a/packages/store/include/turmericspar/store/store.h
+++ b/packages/store/include/turmericspar/store/store.h
@@ -17,7 +17,7 @@
 struct store_options
 {
     endpoint address;
-    millis timeout{2000}; ///< for reads and writes
+    millis timeout{1000}; ///< for reads and writes
     millis watchSpan{30'000}; ///< how long the store holds a watch open
     millis backoffLeast{200}; ///< wait after a failed watch
     millis backoffMost{10'000};
--- a/packages/store/src/seed_board.cpp
+++ b/packages/store/src/seed_board.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr millis leaseSpan{15'000};
-constexpr millis renewalPeriod{5000};
+/// A lease that lapsed while the store was away must be replaced within two seconds of its return.
+constexpr millis renewalPeriod{1000};
 
 } // namespace
 
