--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -425,6 +425,23 @@
     record.endedAt = wallNow();
     record.span = monotonicNow() - call.since;
     m_metrics.answered(call.service, call.rank, outcome, reason, record.span);
+    if (outcome != call_outcome::ran || isServerError(static_cast<std::uint32_t>(record.status))) {
+        m_decisions.note("call_answered",
+                         {{"request", record.root},
+                          {"service", record.service},
+                          {"class", record.klass},
+                          {"rank", record.rank},
+                          {"depth", record.depth},
+                          {"outcome", outcomeNames.name(outcome)},
+                          {"reason", refusalNames.name(reason)},
+                          {"status", record.status},
+                          {"nodes", record.nodes},
+                          {"span_ms", record.span},
+                          {"deadline_in_ms", call.context.deadline - monotonicNow()},
+                          {"told_level", record.levelThen},
+                          {"version", m_peers.version()}},
+                         monotonicNow());
+    }
     m_records.add(std::move(record));
 }
 
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -14,6 +14,7 @@
 upstream_pool_options poolOptions(const node_settings &settings)
 {
     upstream_pool_options options;
+    options.connectTimeout = settings.connectTimeout;
     options.idleMost = settings.connectionIdle;
     return options;
 }
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -4,6 +4,7 @@
 
 #include "call_metrics.h"
 #include "call_records.h"
+#include "decision_log.h"
 #include "interface_profile.h"
 #include "node_settings.h"
 #include "once_guard.h"
@@ -208,6 +209,7 @@
     parent_finder m_parents;
     call_metrics m_metrics;
     call_records m_records;
+    decision_log m_decisions;
     once_guard m_once;
     upstream_pool m_pool;
     silence_watch m_silence;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -332,6 +332,25 @@
     record.excess = call.context.place.excess;
     record.levelThen = m_serving.level();
     record.endedAt = wallNow();
+    if (record.outcome != call_outcome::ran) {
+        m_decisions.note("call_not_served",
+                         {{"request", record.root},
+                          {"service", record.service},
+                          {"instance", m_said.instance},
+                          {"class", record.klass},
+                          {"rank", record.rank},
+                          {"outcome", outcomeNames.name(record.outcome)},
+                          {"reason", refusalNames.name(record.reason)},
+                          {"running", m_serving.running()},
+                          {"waiting", m_serving.waiting()},
+                          {"limit", m_serving.limit()},
+                          {"level", record.levelThen},
+                          {"window", m_serving.window(record.klass)},
+                          {"usual_ms", m_serving.usualTime()},
+                          {"deadline_in_ms", call.context.deadline - now},
+                          {"started", call.startedAt.count > 0 ? "true" : "false"}},
+                         now);
+    }
     record.waited = (call.startedAt.count > 0 ? call.startedAt : now) - call.since;
     record.span = now - call.since;
     m_records.add(std::move(record));
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -142,6 +142,7 @@
     root.child("seeds").each([&](settings_reader item) { read.seeds.push_back(item.requiredAddress()); });
     read.fallbackConfiguration = root.child("fallback_configuration").text({});
     read.callersMax = root.child("callers_max").integer(read.callersMax, 1, 1'000'000);
+    read.connectTimeout = root.child("connect_timeout_ms").span(read.connectTimeout, 1, oneHourMs);
     read.connectionIdle = root.child("connection_idle_ms").span(read.connectionIdle, 1, oneHourMs);
     read.startWait = root.child("start_wait_ms").span(read.startWait, 0, oneHourMs);
     read.shutdownWait = root.child("shutdown_wait_ms").span(read.shutdownWait, 0, oneHourMs);
--- a/apps/turmericspard/node_settings.h
+++ b/apps/turmericspard/node_settings.h
@@ -46,6 +46,7 @@
     std::vector<endpoint> seeds;
     std::string fallbackConfiguration; ///< a file; used until a version is known
     int callersMax = 20'000; ///< most connections of callers
+    millis connectTimeout{1000}; ///< for a connection to the upstream
     millis connectionIdle{60'000}; ///< after it, an idle connection to the upstream is not used again, unless the upstream says how long it keeps one
     millis startWait{2000}; ///< how long a starting node waits for a configuration
     millis shutdownWait{60'000}; ///< how long a leaving node waits for the calls in flight
--- a/packages/base/include/turmericspar/base/log.h
+++ b/packages/base/include/turmericspar/base/log.h
@@ -30,7 +30,7 @@
 
 /// Sets where lines go and how grave an event must be to be written.
 /// @param node the name of this process, written in each line
-/// @param file a path, or empty for the standard error stream
+/// @param file a path, or empty for the standard output; a line is dropped rather than waited for
 void startLog(const std::string &node, log_level least, const std::string &file);
 
 /// Changes how grave an event must be from now on.
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,8 +1,9 @@
 #include "turmericspar/base/log.h"
 
+#include "output_sink.h"
+
 #include <memory>
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace turmericspar {
@@ -73,7 +74,7 @@
 {
     spdlog::sink_ptr sink;
     if (file.empty()) {
-        sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+        sink = std::make_shared<output_sink>();
     } else {
         sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(file);
     }
--- a/packages/policy/include/turmericspar/policy/serving.h
+++ b/packages/policy/include/turmericspar/policy/serving.h
@@ -78,6 +78,8 @@
     /// @return the importance below which new requests are refused here.
     double level() const { return m_level.level(); }
     int limit() const;
+    /// @return how many requests of a class may run at once; 0 if its calls below find room.
+    double window(const std::string &klass) const;
     std::size_t waiting() const { return m_queue.size(); }
     std::size_t running() const { return m_running.size(); }
     bool draining() const { return m_draining; }
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -184,6 +184,12 @@
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
 }
 
+double serving::window(const std::string &klass) const
+{
+    const auto found = m_windows.find(klass);
+    return found == m_windows.end() ? 0 : found->second.window();
+}
+
 void serving::giveUp(call_id id, refusal_reason reason, millis now, std::vector<serving_action> &actions)
 {
     if (m_queue.remove(id)) {
