A farewell that a restarted node hears first is remembered

A node that had just been restarted acknowledged the farewell of an upstream that it had not heard of, forgot it, and took a late heartbeat of the same life for a new upstream. Ruled out: the shutdown before (done 0.7 s earlier), membership, the store (in force again). Change: announcement_order keeps the life that a first farewell names; the farewell's start time is read. Test with that order of words; it did not exist before and fails on the code before (the announcement was taken).

--- a/packages/upstream/include/turmericspar/upstream/announcement_order.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement_order.h
@@ -24,8 +24,8 @@
     /// @return whether it is newer than all before; one that is not must be passed over
     bool announced(const announcement_place &place);
     /// Takes the message by which an instance says that it takes no new work.
-    /// @return whether it concerns the present life of the upstream
-    bool left(const std::string &instance);
+    /// @return whether it concerns the present life of the upstream, or one that was not heard of yet
+    bool left(const announcement_place &place);
 
 private:
     bool isNewLife(const announcement_place &place) const;
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -125,7 +125,7 @@
     // Step 2. Only the newest word counts; one that was overtaken is acknowledged all the same
     const auto &said = notice->said;
     if (notice->what == upstream_notice::kind::left) {
-        if (m_order.left(said.instance)) {
+        if (m_order.left({said.instance, said.startedAt, said.sequence})) {
             gone("said goodbye");
         }
     } else if (m_order.announced({said.instance, said.startedAt, said.sequence})) {
--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -40,11 +40,16 @@
     return true;
 }
 
-bool announcement_order::left(const std::string &instance)
+bool announcement_order::left(const announcement_place &place)
 {
-    if (m_known && !instance.empty() && instance != m_newest.instance) {
+    if (m_known && !place.instance.empty() && place.instance != m_newest.instance) {
         return false;
     }
+    if (!m_known) {
+        // A node that has just started may hear the farewell first: what that life said before must not count later.
+        m_known = !place.instance.empty();
+        m_newest = place;
+    }
     m_left = m_known;
     return true;
 }
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -46,7 +46,7 @@
 {
     announcement_order order;
     EXPECT_TRUE(order.announced({"a", 1000, 1}));
-    EXPECT_TRUE(order.left("a"));
+    EXPECT_TRUE(order.left({"a", std::nullopt, std::nullopt}));
     EXPECT_FALSE(order.announced({"a", 1000, 2}));
     EXPECT_TRUE(order.announced({"a", 2000, 1}));
 }
@@ -56,7 +56,7 @@
     announcement_order order;
     EXPECT_TRUE(order.announced({"a", 1000, 1}));
     EXPECT_TRUE(order.announced({"b", 2000, 1}));
-    EXPECT_FALSE(order.left("a"));
+    EXPECT_FALSE(order.left({"a", std::nullopt, std::nullopt}));
     EXPECT_TRUE(order.announced({"b", 2000, 2}));
 }
 
@@ -64,8 +64,17 @@
 {
     announcement_order order;
     EXPECT_TRUE(order.announced({}));
-    EXPECT_TRUE(order.left(""));
+    EXPECT_TRUE(order.left({}));
     EXPECT_TRUE(order.announced({}));
 }
 
+// Found by the bench: trouble-3 of the first site with seed 247510098713.
+TEST(announcement_order, a_farewell_that_a_restarted_node_hears_first_outlives_late_announcements)
+{
+    announcement_order order;
+    EXPECT_TRUE(order.left({"a", 1000, std::nullopt}));
+    EXPECT_FALSE(order.announced({"a", 1000, 7}));
+    EXPECT_TRUE(order.announced({"a", 2000, 1}));
+}
+
 } // namespace
