An answer to HEAD keeps the length that its upstream told

Cause: since links leave the length of answers out, the entry had none to write for an answer without a body, and a caller of HEAD lost it. Change: the length is left out only of answers with a body. The stand-in states it, as servers do; the test fails before (empty for 21).

--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -247,7 +247,10 @@
         // The entry knows the id and writes the length; the load concerns this node alone.
         outcome.response.fields.remove(m_profile.calls.requestId);
         outcome.response.fields.remove(m_profile.calls.load);
-        outcome.response.fields.remove("Content-Length");
+        if (!outcome.response.body.empty()) {
+            // An answer to HEAD has no body, and its length is the upstream's to tell.
+            outcome.response.fields.remove("Content-Length");
+        }
         fieldsToWire(outcome.response.fields, m_profile.calls.commonFields, reply);
         reply.set_body(std::move(outcome.response.body));
     }
--- a/bench/standins/upstream_standin.cpp
+++ b/bench/standins/upstream_standin.cpp
@@ -280,7 +280,9 @@
         response.fields.add("X-Failed-Call", work->failedCall);
     }
     response.body = answerChecksum(work->root, m_shape.service) + "\n";
-    work->exchange->respond(response);
+    // The server writes the length itself, but for an answer to HEAD, which has no body to count.
+    response.fields.add("Content-Length", std::to_string(response.body.size()));
+    work->exchange->respond(std::move(response));
     leaveSlot(work, status == 200);
 }
 
--- a/bench/tests/daemon_test.cpp
+++ b/bench/tests/daemon_test.cpp
@@ -115,6 +115,16 @@
     }
 }
 
+TEST_F(daemon_test, an_answer_to_head_keeps_the_length_that_its_upstream_told)
+{
+    auto asked = request("h");
+    asked.method = "HEAD";
+    const auto answer = call(0, asked);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.body.empty());
+    EXPECT_EQ(answer.fields.get("Content-Length"), std::to_string(answerChecksum("h", "parts").size() + 1));
+}
+
 TEST_F(daemon_test, refusals_say_who_and_why)
 {
     auto unknown = request("u");
