Windows of classes reopen fast after an outage below

Ruled out: no-upstream failures as a reason of their own: an outage calls for refusals at the root as much as a lack of room does. Change: a floor of 0.05 of the upstream's limit; nearly all requests failing (0.6) is taken for an outage, after which the window grows by half in a round trip; full is what was filled at any time while a request ran.

--- a/packages/policy/include/turmericspar/policy/class_window.h
+++ b/packages/policy/include/turmericspar/policy/class_window.h
@@ -15,25 +15,29 @@
 
     /// @return whether another request may begin.
     bool hasRoom() const { return !m_active || m_running < m_window; }
-    void started() { ++m_running; }
+    void started(millis now);
 
     /// Learns of the end of a request.
     /// @param failedBelow whether it failed because of a call that it made
     /// @param startedAt when it was given to the upstream
-    void ended(bool failedBelow, millis startedAt, millis now);
+    /// @param limit requests of all classes that may run at the upstream at once
+    void ended(bool failedBelow, millis startedAt, millis now, int limit);
 
     /// @return the number that may run at once; 0 if there is no bound.
     double window() const { return m_active ? m_window : 0; }
 
 private:
-    void close(millis now);
+    void close(millis now, int limit);
+    void open();
 
     const tunables &m_tuning;
     bool m_active = false;
+    bool m_outage = false; ///< whether it closed because nearly all requests failed below
     double m_failedShare = 0; ///< of the last requests, those that failed because of their calls
     double m_window = 0;
     int m_running = 0;
     millis m_closedAt{-1e12};
+    millis m_fullAt{-1e12}; ///< when it was last filled
 };
 
 } // namespace turmericspar
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -38,9 +38,12 @@
     // Window of a class whose requests make calls
     double windowDecrease = 0.75; ///< step down when calls fail below, as a factor
     double windowIncrease = 0.1; ///< step up, as a share of the window, 1 at least; spread over as many answers as the window is wide
+    double windowReopen = 0.5; ///< the same after an outage: all the room is there at once
+    double windowOutage = 0.6; ///< share of requests that fail below from which the services there are taken for gone rather than full
     double windowFailures = 0.1; ///< share of requests that fail below from which the window closes
     double windowBlend = 0.05; ///< weight of a new end of a request among those before
     double windowLeast = 1; ///< requests that may always run
+    double windowLeastShare = 0.05; ///< the same, as a share of the upstream's limit
     double windowFullShare = 0.8; ///< use of the window from which it counts as full
     millis windowMemory{3000}; ///< time without a step down after which a window that is not full is given up
 
--- a/packages/policy/src/class_window.cpp
+++ b/packages/policy/src/class_window.cpp
@@ -4,20 +4,28 @@
 
 namespace turmericspar {
 
-void class_window::ended(bool failedBelow, millis startedAt, millis now)
+void class_window::started(millis now)
 {
-    const bool wasFull = m_running >= m_window * m_tuning.windowFullShare;
+    ++m_running;
+    if (m_running >= m_window * m_tuning.windowFullShare) {
+        m_fullAt = now;
+    }
+}
+
+void class_window::ended(bool failedBelow, millis startedAt, millis now, int limit)
+{
+    const bool wasFull = m_fullAt >= startedAt;
     m_running = std::max(0, m_running - 1);
     m_failedShare += ((failedBelow ? 1.0 : 0.0) - m_failedShare) * m_tuning.windowBlend;
     if (failedBelow) {
         // A few always fail. What began before the window was last closed tells nothing of the present one.
         if (m_failedShare > m_tuning.windowFailures && startedAt > m_closedAt) {
-            close(now);
+            close(now, limit);
         }
         return;
     }
     if (m_active && wasFull) {
-        m_window += std::max(1.0, m_window * m_tuning.windowIncrease) / m_window;
+        open();
     }
     const bool calm = now - m_closedAt > m_tuning.windowMemory;
     if (m_active && calm && !wasFull) {
@@ -25,11 +33,19 @@
     }
 }
 
-void class_window::close(millis now)
+/// Opens the window by the share of a step that falls to one answer.
+void class_window::open()
+{
+    const double share = m_outage ? m_tuning.windowReopen : m_tuning.windowIncrease;
+    m_window += std::max(1.0, m_window * share) / m_window;
+}
+
+void class_window::close(millis now, int limit)
 {
     const double present = m_active ? std::min<double>(m_window, m_running + 1) : m_running + 1;
     m_active = true;
-    m_window = std::max(m_tuning.windowLeast, present * m_tuning.windowDecrease);
+    m_window = std::max({m_tuning.windowLeast, limit * m_tuning.windowLeastShare, present * m_tuning.windowDecrease});
+    m_outage = m_failedShare > m_tuning.windowOutage;
     m_closedAt = now;
 }
 
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -150,7 +150,7 @@
 {
     m_running.emplace(call.id, running_call{now, call.klass});
     if (!call.klass.empty()) {
-        windowOf(call.klass).started();
+        windowOf(call.klass).started(now);
     }
     m_level.started(now);
     actions.push_back({serving_action::verb::start, call.id, refusal_reason::none});
@@ -171,7 +171,7 @@
     const millis startedAt = found->second.startedAt;
     const millis wholeTime = now - startedAt;
     if (!found->second.klass.empty()) {
-        windowOf(found->second.klass).ended(report.failedBelow, startedAt, now);
+        windowOf(found->second.klass).ended(report.failedBelow, startedAt, now, limit());
     }
     m_running.erase(found);
     if (report.answered || report.shed) {
--- a/packages/policy/tests/class_window_test.cpp
+++ b/packages/policy/tests/class_window_test.cpp
@@ -9,6 +9,9 @@
 
 using namespace turmericspar;
 
+/// Limit of the upstream whose requests make the calls.
+constexpr int slots = 36;
+
 /// Requests that arrive at a rate and whose calls need a service below that bears a number of them at once.
 struct surge_below
 {
@@ -27,7 +30,7 @@
     for (millis now{0}; now < span; now += millis{1000 / perSecond}) {
         while (!running.empty() && running.front() + lasts <= now) {
             const bool fails = static_cast<int>(running.size()) > bearable;
-            window.ended(fails, running.front(), now);
+            window.ended(fails, running.front(), now, slots);
             running.pop_front();
             ++(fails ? seen.failed : seen.whole);
         }
@@ -35,7 +38,7 @@
             ++seen.refused;
             continue;
         }
-        window.started();
+        window.started(now);
         running.push_back(now);
     }
     return seen;
@@ -66,9 +69,9 @@
     class_window window(tuning);
     millis now{0};
     for (int i = 0; i < 2000; ++i) {
-        window.started();
+        window.started(now);
         // One in a hundred fails, as where an upstream has errors of its own.
-        window.ended(i % 100 == 99, now, now + millis{100});
+        window.ended(i % 100 == 99, now, now + millis{100}, slots);
         now += millis{10};
     }
     EXPECT_EQ(window.window(), 0);
@@ -80,8 +83,8 @@
     class_window window(tuning);
     millis now{0};
     for (int i = 0; i < 100; ++i) {
-        window.started();
-        window.ended(true, now, now + millis{100});
+        window.started(now);
+        window.ended(true, now, now + millis{100}, slots);
         now += millis{1000};
     }
     EXPECT_TRUE(window.hasRoom());
@@ -93,17 +96,70 @@
     class_window window(tuning);
     millis now{0};
     for (int i = 0; i < 10; ++i) {
-        window.started();
-        window.ended(true, now, now + millis{20});
+        window.started(now);
+        window.ended(true, now, now + millis{20}, slots);
         now += millis{100};
     }
     EXPECT_GT(window.window(), 0);
     for (int i = 0; i < 1000 && window.window() > 0; ++i) {
-        window.started();
-        window.ended(false, now, now + millis{20});
+        window.started(now);
+        window.ended(false, now, now + millis{20}, slots);
         now += millis{100};
     }
     EXPECT_EQ(window.window(), 0);
 }
 
+/// Answers a steady press of 200 requests a second that each take a round trip, until a window opens to a width.
+/// @return the time that it took; the whole patience if it did not
+millis timeToOpen(class_window &window, double width, int limit, millis roundTrip, millis start, millis patience)
+{
+    std::deque<millis> running;
+    for (millis now = start; now < start + patience; now += millis{5}) {
+        while (!running.empty() && running.front() + roundTrip <= now) {
+            window.ended(false, running.front(), now, limit);
+            running.pop_front();
+        }
+        if (window.hasRoom()) {
+            window.started(now);
+            running.push_back(now);
+        }
+        if (window.window() == 0 || window.window() >= width) {
+            return now - start;
+        }
+    }
+    return patience;
+}
+
+TEST(class_window, closed_while_nothing_served_below_it_opens_within_two_seconds_of_their_return)
+{
+    const tunables tuning;
+    constexpr int limit = 172;
+    class_window window(tuning);
+    millis now{0};
+    for (int i = 0; i < 200; ++i) {
+        window.started(now);
+        window.ended(true, now, now + millis{10}, limit);
+        now += millis{20};
+    }
+    ASSERT_GT(window.window(), 0);
+    EXPECT_LT(timeToOpen(window, 40, limit, {400}, now, {10'000}), millis{2000});
+}
+
+TEST(class_window, keeps_a_share_of_the_limit_however_long_calls_fail)
+{
+    const tunables tuning;
+    class_window wide(tuning);
+    class_window narrow(tuning);
+    millis now{0};
+    for (int i = 0; i < 200; ++i) {
+        wide.started(now);
+        wide.ended(true, now, now + millis{10}, 172);
+        narrow.started(now);
+        narrow.ended(true, now, now + millis{10}, 12);
+        now += millis{20};
+    }
+    EXPECT_GE(wide.window(), 172 * tuning.windowLeastShare);
+    EXPECT_EQ(narrow.window(), 1);
+}
+
 } // namespace
