Nodes that start together, and the sides of a partition, know each other within two seconds

The nodes had formed groups of two to seven: a node asked one random seed only until it knew anybody, then one each 6 s, and read no further seeds. The sides of a partition met in the same way. Ruled out: heartbeats that come late (all upstreams announced at 40.4 to 40.6 s), the store (regained at once). Change: a node asks an unknown seed in each period (300 ms) of its first ten seconds, and reads the store's seeds again at pauses of 1 to 8 s; a member that died within the last minute is asked in each period, too. The recovery goal of one second is still not met.

--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -17,6 +17,9 @@
 constexpr millis watcherPeriod{1000};
 /// Between two looks for seeds in the store, while nobody is known.
 constexpr millis seedPeriod{500};
+/// First and longest pause between two such looks by a node that knows others: nodes that start together may find each other in groups.
+constexpr millis seedPauseLeast{1000};
+constexpr millis seedPauseMost{8000};
 /// How long the store holds a watch of the operators' document: a connection that has gone silent is noticed by then.
 constexpr millis documentWatchSpan{2500};
 
@@ -295,12 +298,18 @@
     }
 }
 
-/// Reads the seeds in the store: at the start, and as long as nobody else is known.
+/// Reads the seeds in the store: as long as nobody else is known, and after a start at pauses that double.
 void control_path::readSeeds()
 {
-    if (!m_board || m_members.liveCount() > 1) {
+    const millis now = monotonicNow();
+    const bool due = m_seedPause <= seedPauseMost && now >= m_seedsReadAt + m_seedPause;
+    if (!m_board || (m_members.liveCount() > 1 && !due)) {
         return;
     }
+    if (due) {
+        m_seedsReadAt = now;
+        m_seedPause = std::max(seedPauseLeast, m_seedPause * 2);
+    }
     m_board->read([this](const std::vector<std::string> &posted) {
         auto seeds = settingsSeeds(m_settings);
         seeds.insert(seeds.end(), posted.begin(), posted.end());
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -107,6 +107,8 @@
     node_link *m_links = nullptr;
     millis m_pulledAt{0};
     std::uint64_t m_pulledVersion = 0;
+    millis m_seedsReadAt{0};
+    millis m_seedPause{0};
     bool m_settled = false;
     bool m_upstreamReady = false;
     std::string m_service;
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -76,9 +76,10 @@
     double newsFactor = 2; ///< each news item is sent this factor times log2 of the members
     millis deadKept{600'000}; ///< how long the dead are remembered
     std::uint64_t forgetEvery = 100; ///< periods between two looks for members to be forgotten
-    int seedProbesEvery = 20; ///< periods between two probes of a seed or a dead member, so that partitions heal
+    int lostProbesEvery = 20; ///< periods between two probes of a seed or a dead member, so that partitions heal
+    millis lostLately{60'000}; ///< time after a death for which the member may be probed in each period: most partitions are short
     millis settleTime{5000}; ///< quiet time after which two tables should be the same
-    millis youth{10'000}; ///< time after the first message for which a node fetches tables more often
+    millis youth{10'000}; ///< time after the first message for which a node fetches tables and asks unknown seeds more often
     millis youngSyncInterval{1000}; ///< least time between two fetches then
     millis syncInterval{10'000}; ///< least time between two fetches of a whole table
     int eagerFanout = 4; ///< members told at once of important news
@@ -155,7 +156,8 @@
     void checkProbe(millis now, std::vector<addressed_gossip> &out);
     void expireSuspects(millis now, std::vector<addressed_gossip> &out);
     void forgetGone(millis now);
-    void probeLost(std::vector<addressed_gossip> &out);
+    void probeLost(millis now, std::vector<addressed_gossip> &out);
+    std::vector<node_id> lostMembers(bool latelyOnly, millis now) const;
     std::vector<node_id> randomLive(std::size_t count, const node_id &except);
     void tellAtOnce(std::vector<addressed_gossip> &out);
     node_id nextTarget();
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -299,7 +299,7 @@
     if (m_periods % m_tuning.forgetEvery == 0) {
         forgetGone(now);
     }
-    probeLost(out);
+    probeLost(now, out);
 }
 
 /// Sends the probe of this period.
@@ -419,29 +419,38 @@
     });
 }
 
-/// Now and then asks a seed or a member held for dead, so that the two sides of a partition find each other again.
-void membership::probeLost(std::vector<addressed_gossip> &out)
+/// @return seeds that are not known to live, and members held for dead.
+/// @param latelyOnly whether members that died long ago, and seeds that a node past its youth never met, are left out
+std::vector<node_id> membership::lostMembers(bool latelyOnly, millis now) const
 {
-    const bool alone = liveCount() == 1;
-    if (!alone && m_periods % static_cast<std::uint64_t>(m_tuning.seedProbesEvery) != 0) {
-        return;
-    }
-    std::vector<node_id> candidates;
+    std::vector<node_id> lost;
+    const bool young = m_firstHeardAt.count < 0 || now - m_firstHeardAt < m_tuning.youth;
     for (const auto &seed : m_seeds) {
         const auto found = m_members.find(seed);
-        if (seed != m_self.node && (found == m_members.end() || !isLive(found->second))) {
-            candidates.push_back(seed);
+        const bool unknown = found == m_members.end();
+        const bool left = !unknown && found->second.state == member_state::left;
+        if (seed != m_self.node && ((unknown && young) || ((unknown || left) && !latelyOnly))) {
+            lost.push_back(seed);
         }
     }
     for (const auto &[node, entry] : m_members) {
-        if (entry.state == member_state::dead) {
-            candidates.push_back(node);
+        if (entry.state == member_state::dead && (!latelyOnly || now - m_stateSince.at(node) < m_tuning.lostLately)) {
+            lost.push_back(node);
         }
     }
-    if (candidates.empty()) {
+    return lost;
+}
+
+/// Asks a seed or a member held for dead: nodes that start together in groups, and the sides of a partition, find each other so. What
+/// was lost lately is asked in each period, the others now and then, or always by a node that is alone.
+void membership::probeLost(millis now, std::vector<addressed_gossip> &out)
+{
+    const bool askAll = liveCount() == 1 || m_periods % static_cast<std::uint64_t>(m_tuning.lostProbesEvery) == 0;
+    const auto lost = lostMembers(!askAll, now);
+    if (lost.empty()) {
         return;
     }
-    const auto &chosen = candidates[m_random() % candidates.size()];
+    const auto &chosen = lost[m_random() % lost.size()];
     out.push_back({chosen, compose(gossip_kind::probe, ++m_sequence, chosen)});
 }
 
--- a/packages/policy/tests/membership_test.cpp
+++ b/packages/policy/tests/membership_test.cpp
@@ -16,7 +16,7 @@
 class gossip_net
 {
 public:
-    explicit gossip_net(int count, std::uint64_t seed = 1) : m_random(seed)
+    explicit gossip_net(int count, std::uint64_t seed = 1, int seedCount = 2) : m_seedCount(seedCount), m_random(seed)
     {
         for (int i = 0; i < count; ++i) {
             start(i);
@@ -33,7 +33,11 @@
         self.ready = true;
         self.incarnation = static_cast<std::uint64_t>(now.count) + 1;
         nodes[name(index)] = std::make_unique<membership>(membership_tunables{}, self, m_random());
-        nodes[name(index)]->setSeeds({name(0), name(1)});
+        std::vector<node_id> seeds;
+        for (int i = 0; i < m_seedCount; ++i) {
+            seeds.push_back(name(i));
+        }
+        nodes[name(index)]->setSeeds(std::move(seeds));
     }
 
     void stop(int index) { nodes.erase(name(index)); }
@@ -93,7 +97,19 @@
     double loss = 0;
     std::function<bool(const node_id &, const node_id &)> cut;
 
+    /// Runs until every node knows all the live ones.
+    /// @return the time that it took; the whole patience if it did not happen
+    millis timeUntilAllSee(std::size_t live, millis patience)
+    {
+        const millis from = now;
+        while (!allSee(live) && now < from + patience) {
+            run({50});
+        }
+        return now - from;
+    }
+
 private:
+    int m_seedCount;
     std::mt19937_64 m_random;
 };
 
@@ -134,6 +150,38 @@
     EXPECT_TRUE(net.allSee(20));
 }
 
+/// All are killed and started at once, as after a loss of power: each asks one of several seeds, and groups form that don't know each other.
+TEST(membership, nodes_that_start_at_once_all_know_each_other_within_two_seconds)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        gossip_net small(15, seed, 6);
+        EXPECT_LE(small.timeUntilAllSee(15, {10'000}), millis{2000}) << "seed " << seed;
+    }
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        gossip_net large(60, seed, 8);
+        EXPECT_LE(large.timeUntilAllSee(60, {10'000}), millis{2000}) << "seed " << seed;
+    }
+}
+
+TEST(membership, three_hundred_nodes_that_start_at_once_know_each_other_within_three_seconds)
+{
+    gossip_net net(300, 1, 8);
+    EXPECT_LE(net.timeUntilAllSee(300, {20'000}), millis{3000});
+}
+
+TEST(membership, the_sides_of_a_short_partition_know_each_other_two_seconds_after_it)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        gossip_net net(15, seed);
+        net.run({20'000});
+        const auto side = [](const node_id &node) { return std::stoi(node.substr(7)) < 5; };
+        net.cut = [&](const node_id &from, const node_id &to) { return side(from) != side(to); };
+        net.run({5500});
+        net.cut = nullptr;
+        EXPECT_LE(net.timeUntilAllSee(15, {20'000}), millis{2000}) << "seed " << seed;
+    }
+}
+
 TEST(membership, a_restarted_member_is_known_again)
 {
     gossip_net net(10);
