The time that a call usually takes is known by class

Logs: 170 of its calls were refused at agenda as too late with 200 to 450 ms left: the usual time there mixed bookings of 600 ms with reads of 250 ms. Change: usual times by class and by whether a call is part of an admitted request; a waiting call keeps the time by which it must begin. Test: a_short_call_is_not_judged_by_the_time_of_long_requests.

--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -341,7 +341,7 @@
                            {"limit", m_serving.limit()},
                            {"level", record.levelThen},
                            {"window", m_serving.window(record.klass)},
-                           {"usual_ms", m_serving.usualTime()},
+                           {"usual_ms", m_serving.usualTime(record.klass, record.depth > 0)},
                            {"deadline_in_ms", call.context.deadline - now},
                            {"started", call.startedAt.count > 0 ? "true" : "false"}});
     }
--- a/packages/policy/include/turmericspar/policy/call_queue.h
+++ b/packages/policy/include/turmericspar/policy/call_queue.h
@@ -17,12 +17,12 @@
     call_id id = 0;
     standing place;
     bool admitted = false; ///< part of a request that was admitted before: served first within its rank
-    millis deadline;
+    millis startBy; ///< when it must begin to be answered in time
     millis since;
-    std::string klass; ///< of a new request; empty for others
+    std::string klass; ///< of the request that it is part of
 };
 
-/// A priority queue by standing that also finds the least important call and those whose deadline is near.
+/// A priority queue by standing that also finds the least important call and those that can't be answered in time any more.
 /// Every operation takes time in the logarithm of the number of calls.
 class call_queue
 {
@@ -35,8 +35,8 @@
     /// @return the least important call without taking it.
     const waiting_call &least() const { return m_calls.rbegin()->second; }
     const waiting_call &most() const { return m_calls.begin()->second; }
-    /// Takes a call whose deadline is before a time, if there is one.
-    std::optional<waiting_call> popExpired(millis before);
+    /// Takes a call that had to begin before a time, if there is one.
+    std::optional<waiting_call> popExpired(millis now);
     /// Takes a call by its id, if it waits.
     std::optional<waiting_call> remove(call_id id);
 
@@ -61,7 +61,7 @@
 
     std::map<order, waiting_call> m_calls;
     std::unordered_map<call_id, std::map<order, waiting_call>::iterator> m_byId;
-    std::set<std::pair<millis, call_id>> m_byDeadline;
+    std::set<std::pair<millis, call_id>> m_byStart;
 };
 
 } // namespace turmericspar
--- a/packages/policy/include/turmericspar/policy/serving.h
+++ b/packages/policy/include/turmericspar/policy/serving.h
@@ -84,15 +84,16 @@
     std::size_t running() const { return m_running.size(); }
     bool draining() const { return m_draining; }
     bool announced() const { return m_connections > 0; }
-    /// @return the usual time that a call spends at the upstream, with its own calls.
-    millis usualTime() const { return m_usualTime; }
+    /// @param klass of the request that calls are part of
+    /// @param admitted whether they are made for a request that was admitted before
+    /// @return the usual time that such calls spend at the upstream, with their own calls; zero if none is known.
+    millis usualTime(const std::string &klass, bool admitted) const;
 
 private:
     void startWaiting(millis now, std::vector<serving_action> &actions);
     void start(const waiting_call &call, millis now, std::vector<serving_action> &actions);
     void enqueue(const waiting_call &call, std::vector<serving_action> &actions);
     std::size_t queueCapacity(bool admitted) const;
-    bool tooLate(millis deadline, millis now) const;
     bool withinLimit(const std::string &klass, millis now);
     void refuse(call_id id, refusal_reason reason, std::vector<serving_action> &actions);
 
@@ -104,7 +105,8 @@
     struct running_call
     {
         millis startedAt;
-        std::string klass; ///< of a new request; empty for a call of one that was admitted before
+        std::string klass; ///< of the request that it is part of
+        bool admitted; ///< whether that was admitted before
     };
 
     class_window &windowOf(const std::string &klass) { return m_windows.try_emplace(klass, m_tuning).first->second; }
@@ -112,7 +114,7 @@
     std::unordered_map<call_id, running_call> m_running;
     std::map<std::string, class_window> m_windows;
     std::map<std::string, token_bucket> m_classLimits;
-    millis m_usualTime{0};
+    std::map<std::pair<std::string, bool>, millis> m_usualTimes; ///< by class, and whether calls are part of an admitted request
     int m_connections = 0;
     bool m_draining = false;
 };
--- a/packages/policy/src/call_queue.cpp
+++ b/packages/policy/src/call_queue.cpp
@@ -21,14 +21,14 @@
     const auto [position, added] = m_calls.emplace(orderOf(call), call);
     if (added) {
         m_byId.emplace(call.id, position);
-        m_byDeadline.emplace(call.deadline, call.id);
+        m_byStart.emplace(call.startBy, call.id);
     }
 }
 
 waiting_call call_queue::take(std::map<order, waiting_call>::iterator position)
 {
     const waiting_call call = position->second;
-    m_byDeadline.erase({call.deadline, call.id});
+    m_byStart.erase({call.startBy, call.id});
     m_byId.erase(call.id);
     m_calls.erase(position);
     return call;
@@ -44,12 +44,12 @@
     return take(std::prev(m_calls.end()));
 }
 
-std::optional<waiting_call> call_queue::popExpired(millis before)
+std::optional<waiting_call> call_queue::popExpired(millis now)
 {
-    if (m_byDeadline.empty() || m_byDeadline.begin()->first >= before) {
+    if (m_byStart.empty() || m_byStart.begin()->first >= now) {
         return std::nullopt;
     }
-    return remove(m_byDeadline.begin()->second);
+    return remove(m_byStart.begin()->second);
 }
 
 std::optional<waiting_call> call_queue::remove(call_id id)
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -56,15 +56,17 @@
     return found == m_classLimits.end() || found->second.take(now);
 }
 
-bool serving::tooLate(millis deadline, millis now) const
+millis serving::usualTime(const std::string &klass, bool admitted) const
 {
-    return deadline - now < m_usualTime * m_tuning.serviceTimeMargin;
+    const auto found = m_usualTimes.find({klass, admitted});
+    return found == m_usualTimes.end() ? millis{0} : found->second;
 }
 
 void serving::offer(offered_call &call, double levelBelow, millis now, std::vector<serving_action> &actions)
 {
-    const waiting_call offered{
-        call.id, call.context.place, call.context.depth > 0, call.context.deadline, now, call.context.depth > 0 ? std::string() : call.context.klass};
+    const bool isRoot = call.context.depth == 0;
+    const millis startBy = call.context.deadline - usualTime(call.context.klass, !isRoot) * m_tuning.serviceTimeMargin;
+    const waiting_call offered{call.id, call.context.place, !isRoot, startBy, now, call.context.klass};
 
     // Step 1. An upstream that leaves takes nothing
     if (m_draining) {
@@ -79,7 +81,6 @@
 
     // Step 2. A new request is placed within or above the limit of its class, for all hops to come
     waiting_call placed = offered;
-    const bool isRoot = call.context.depth == 0;
     if (isRoot && !withinLimit(call.context.klass, now)) {
         call.context.place.excess = true;
         placed.place.excess = true;
@@ -101,7 +102,7 @@
     }
 
     // Step 5. What can't be answered in time is not begun
-    if (tooLate(call.context.deadline, now)) {
+    if (startBy < now) {
         refuse(call.id, refusal_reason::deadline, actions);
         return;
     }
@@ -138,7 +139,7 @@
 {
     while (!m_draining && !m_queue.empty() && static_cast<int>(m_running.size()) < limit()) {
         const waiting_call next = m_queue.popMost();
-        if (m_mode == policy_mode::full && tooLate(next.deadline, now)) {
+        if (m_mode == policy_mode::full && next.startBy < now) {
             refuse(next.id, refusal_reason::deadline, actions);
         } else {
             start(next, now, actions);
@@ -148,8 +149,8 @@
 
 void serving::start(const waiting_call &call, millis now, std::vector<serving_action> &actions)
 {
-    m_running.emplace(call.id, running_call{now, call.klass});
-    if (!call.klass.empty()) {
+    m_running.emplace(call.id, running_call{now, call.klass, call.admitted});
+    if (!call.admitted) {
         windowOf(call.klass).started(now);
     }
     m_level.started(now);
@@ -168,17 +169,19 @@
         return;
     }
     const int running = static_cast<int>(m_running.size());
-    const millis startedAt = found->second.startedAt;
+    const auto ended = found->second;
+    const millis startedAt = ended.startedAt;
     const millis wholeTime = now - startedAt;
-    if (!found->second.klass.empty()) {
-        windowOf(found->second.klass).ended(report.failedBelow, startedAt, now, limit());
+    if (!ended.admitted) {
+        windowOf(ended.klass).ended(report.failedBelow, startedAt, now, limit());
     }
     m_running.erase(found);
     if (report.answered || report.shed) {
         m_limiter.answered(report.ownTime, report.shed, running, startedAt, now);
     }
     if (report.answered && !report.shed) {
-        m_usualTime = m_usualTime.count == 0 ? wholeTime : m_usualTime + (wholeTime - m_usualTime) * m_tuning.latencyBlend;
+        auto &usual = m_usualTimes[{ended.klass, ended.admitted}];
+        usual = usual.count == 0 ? wholeTime : usual + (wholeTime - usual) * m_tuning.latencyBlend;
     }
     startWaiting(now, actions);
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
@@ -202,9 +205,8 @@
 
 void serving::tick(millis now, std::vector<serving_action> &actions)
 {
-    const millis margin = m_usualTime * m_tuning.serviceTimeMargin;
     while (m_mode == policy_mode::full) {
-        const auto expired = m_queue.popExpired(now + margin);
+        const auto expired = m_queue.popExpired(now);
         if (!expired) {
             break;
         }
--- a/packages/policy/tests/queue_test.cpp
+++ b/packages/policy/tests/queue_test.cpp
@@ -18,7 +18,7 @@
                                               rc::gen::set(&standing::excess, rc::gen::arbitrary<bool>()),
                                               rc::gen::set(&standing::draw, rc::gen::inRange<std::uint32_t>(0, 5)))),
         rc::gen::set(&waiting_call::admitted, rc::gen::arbitrary<bool>()),
-        rc::gen::set(&waiting_call::deadline, rc::gen::map(rc::gen::inRange(0, 100), [](int at) { return millis{static_cast<double>(at)}; })));
+        rc::gen::set(&waiting_call::startBy, rc::gen::map(rc::gen::inRange(0, 100), [](int at) { return millis{static_cast<double>(at)}; })));
 }
 
 RC_GTEST_PROP(call_queue, behaves_as_a_sorted_list, ())
@@ -43,7 +43,7 @@
         } else {
             const millis now{static_cast<double>(*rc::gen::inRange(0, 100))};
             const auto expired = queue.popExpired(now);
-            const auto due = std::count_if(model.begin(), model.end(), [&](const auto &call) { return call.deadline < now; });
+            const auto due = std::count_if(model.begin(), model.end(), [&](const auto &call) { return call.startBy < now; });
             RC_ASSERT(expired.has_value() == (due > 0));
             if (expired) {
                 std::erase_if(model, [&](const auto &call) { return call.id == expired->id; });
--- a/packages/policy/tests/serving_test.cpp
+++ b/packages/policy/tests/serving_test.cpp
@@ -234,4 +234,45 @@
     EXPECT_EQ(actions[0].id, 3U);
 }
 
+/// Runs a call alone for a time.
+void runCall(serving &decisions, call_id id, const std::string &klass, int depth, millis start, millis lasts)
+{
+    std::vector<serving_action> actions;
+    offered_call call;
+    call.id = id;
+    call.context.klass = klass;
+    call.context.depth = depth;
+    call.context.deadline = start + lasts * 3;
+    decisions.offer(call, 0, start, actions);
+    decisions.ended(id, {lasts, true, false}, start + lasts, actions);
+}
+
+/// An upstream answers its own requests slowly and the calls of another service fast: a call with little time left is one of the fast.
+TEST(serving, a_short_call_is_not_judged_by_the_time_of_long_requests)
+{
+    const tunables tuning;
+    serving decisions(tuning, policy_mode::full);
+    decisions.announce(10, 10, false);
+    millis now{1};
+    for (call_id id = 1; id <= 40; id += 2) {
+        runCall(decisions, id, "booking", 0, now, {600});
+        runCall(decisions, id + 1, "history", 1, now, {100});
+        now += millis{1000};
+    }
+    const auto offer = [&](call_id id, const std::string &klass, int depth, millis left) {
+        std::vector<serving_action> actions;
+        offered_call call;
+        call.id = id;
+        call.context.klass = klass;
+        call.context.depth = depth;
+        call.context.deadline = now + left;
+        decisions.offer(call, 0, now, actions);
+        return actions.at(0).what;
+    };
+    EXPECT_EQ(offer(101, "history", 1, {200}), serving_action::verb::start);
+    EXPECT_EQ(offer(102, "history", 1, {50}), serving_action::verb::refuse);
+    EXPECT_EQ(offer(103, "booking", 0, {200}), serving_action::verb::refuse);
+    EXPECT_EQ(offer(104, "booking", 0, {700}), serving_action::verb::start);
+}
+
 } // namespace
