Calls in turn are tied to the request whose answer came last

A call with a shorter deadline of its own was tied to whichever request of its kind had the earliest deadline, so rank and draw lent to stock reads were mostly those of another request. Change: the running call whose answer came last and that waits for nothing makes the next call; a first call goes to one that made none.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -114,8 +114,10 @@
 
     // Step 2. Where requests name none, the call that runs beside this node and fits
     const auto deadline = description.timeout ? std::optional<millis>(now + *description.timeout) : std::nullopt;
-    const auto kin = m_served.find(m_parents.find(description.klass, deadline));
+    const auto kin = m_served.find(m_parents.find(description.klass, deadline, now));
     if (kin != m_served.end()) {
+        call.kin = kin->first;
+        m_parents.called(call.kin, description.klass);
         // It stands where that call stands. It is not tied to its end: with many calls running, the guess is wrong at times.
         call.context = kin->second.context;
         ++call.context.depth;
@@ -154,6 +156,7 @@
         const auto found = m_entering.find(id);
         if (found != m_entering.end()) {
             m_ledger.childEnded(found->second.parent, id, found->second.context.retries, false, monotonicNow());
+            m_parents.answered(found->second.kin, monotonicNow());
             noteEntered(found->second, call_outcome::unknown, refusal_reason::cancelled);
             m_entering.erase(found);
         }
@@ -367,6 +370,7 @@
     m_entering.erase(found);
     const millis now = monotonicNow();
     m_ledger.childEnded(call.parent, action.id, action.retriesUsed, action.finalFailure, now);
+    m_parents.answered(call.kin, now);
 
     http_response response;
     const bool hasAnswer = action.useAnswer && call.answer && call.answer->status() != 0;
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -123,6 +123,7 @@
         int rank = 0;
         call_id parent = 0; ///< the call running at the upstream for which this one is made
         bool needed = false; ///< whether that call fails without this one
+        call_id kin = 0; ///< the call for which it probably is made, where requests name none
         call_context context;
         millis since;
         std::string sentTo; ///< the nodes to which it was sent, with spaces between
--- a/packages/policy/src/parent_finder.cpp
+++ b/packages/policy/src/parent_finder.cpp
@@ -13,6 +13,9 @@
 /// Where it lies most often.
 constexpr millis usual{0.4};
 
+/// An upstream that calls in turn makes its next call this soon after an answer: the way there and back on one host.
+constexpr millis nextCallWithin{5};
+
 /// Requests of a class before it is judged whether it is called.
 constexpr double judgedFrom = 20;
 /// Share of its requests that must match: chance alone gives a few in a hundred.
@@ -26,7 +29,10 @@
 
 void parent_finder::started(call_id id, const std::string &klass, millis deadline)
 {
-    m_running[id] = {klass, deadline};
+    running_call call;
+    call.klass = klass;
+    call.deadline = deadline;
+    m_running[id] = std::move(call);
     m_byDeadline.emplace(deadline, id);
 }
 
@@ -62,20 +68,28 @@
     return found != habit.parents.end() && found->second >= habit.matched * parentShare;
 }
 
-/// @return a running call of a class that makes such calls.
-call_id parent_finder::relativeOf(const call_habit &habit) const
+void parent_finder::called(call_id parent, const std::string &klass)
 {
-    for (const auto &[deadline, id] : m_byDeadline) {
-        if (isParent(habit, m_running.at(id).klass)) {
-            return id;
-        }
+    const auto found = m_running.find(parent);
+    if (found != m_running.end()) {
+        ++found->second.calls;
+        ++found->second.callsRunning;
+        found->second.called = klass;
     }
-    return 0;
 }
 
-call_id parent_finder::find(const std::string &klass, std::optional<millis> deadline)
+void parent_finder::answered(call_id parent, millis now)
+{
+    const auto found = m_running.find(parent);
+    if (found != m_running.end()) {
+        found->second.callsRunning = std::max(0, found->second.callsRunning - 1);
+        found->second.answeredAt = now;
+    }
+}
+
+/// @return the running call whose deadline is nearest to that of a request; 0 if none is near.
+call_id parent_finder::nearestByDeadline(std::optional<millis> deadline) const
 {
-    // Step 1. The running call whose deadline is nearest
     call_id nearest = 0;
     double least = latest.count - earliest.count;
     if (deadline) {
@@ -88,6 +102,46 @@
             }
         }
     }
+    return nearest;
+}
+
+/// @return the running call that has waited longest, a moment at most, since its last call of this class was answered; 0 if there is none.
+call_id parent_finder::goingOn(const std::string &klass, std::optional<millis> deadline, millis now) const
+{
+    call_id best = 0;
+    millis since = now;
+    for (const auto &[id, call] : m_running) {
+        const bool waits = call.callsRunning == 0 && call.called == klass && now - call.answeredAt <= nextCallWithin;
+        const bool fits = !deadline || *deadline + earliest <= call.deadline;
+        if (waits && fits && (best == 0 || call.answeredAt < since)) {
+            best = id;
+            since = call.answeredAt;
+        }
+    }
+    return best;
+}
+
+/// @return a running call of a class that makes such calls: one that made none yet, if there is one.
+call_id parent_finder::relativeOf(const call_habit &habit) const
+{
+    call_id any = 0;
+    for (const auto &[deadline, id] : m_byDeadline) {
+        const auto &call = m_running.at(id);
+        if (!isParent(habit, call.klass)) {
+            continue;
+        }
+        if (call.calls == 0) {
+            return id;
+        }
+        any = any == 0 ? id : any;
+    }
+    return any;
+}
+
+call_id parent_finder::find(const std::string &klass, std::optional<millis> deadline, millis now)
+{
+    // Step 1. The running call whose deadline is nearest
+    const call_id nearest = nearestByDeadline(deadline);
 
     // Step 2. Whether requests of this class are calls at all
     auto &habit = m_habits[klass];
@@ -107,7 +161,11 @@
         return 0;
     }
 
-    // Step 3. A call with a shorter deadline of its own fits none, but its kind is known
+    // Step 3. The next in a row of calls; else by deadline. A call with a shorter deadline of its own fits none, but its kind is known
+    const call_id next = goingOn(klass, deadline, now);
+    if (next != 0) {
+        return next;
+    }
     return nearest != 0 ? nearest : relativeOf(habit);
 }
 
