A window closes only on more failures than usual

From second 8 one slow upstream is left of its service; a quarter of its requests pass their timeout of 1.2 s however few run, so its window closed to 5 of 36 and stayed there. Change: the share that fails while few run, measured from 0.4 of the width at which the window was closed, is usual (0.3 at most); the window closes at a tenth more.

--- a/packages/policy/include/turmericspar/policy/class_window.h
+++ b/packages/policy/include/turmericspar/policy/class_window.h
@@ -27,6 +27,7 @@
     double window() const { return m_active ? m_window : 0; }
 
 private:
+    bool failsTooOften() const;
     void close(millis now, int limit);
     void open();
 
@@ -34,7 +35,9 @@
     bool m_active = false;
     bool m_outage = false; ///< whether it closed because nearly all requests failed below
     double m_failedShare = 0; ///< of the last requests, those that failed because of their calls
+    double m_usualFailures = 0; ///< the same of those that ran with few beside them: these don't fail for lack of room
     double m_window = 0;
+    double m_peak = 0; ///< width from which it was closed lately
     int m_running = 0;
     millis m_closedAt{-1e12};
     millis m_fullAt{-1e12}; ///< when it was last filled
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -40,8 +40,11 @@
     double windowIncrease = 0.1; ///< step up, as a share of the window, 1 at least; spread over as many answers as the window is wide
     double windowReopen = 0.5; ///< the same after an outage: all the room is there at once
     double windowOutage = 0.6; ///< share of requests that fail below from which the services there are taken for gone rather than full
-    double windowFailures = 0.1; ///< share of requests that fail below from which the window closes
+    double windowFailures = 0.1; ///< share of requests that fail below beyond the usual from which the window closes
     double windowBlend = 0.05; ///< weight of a new end of a request among those before
+    double windowFewShare = 0.4; ///< share of the width from which it was closed up to which running requests count as few
+    double windowPeakDecay = 0.95; ///< how much of that width remains with each step down
+    double windowUsualMost = 0.3; ///< largest share of failures that is taken for usual
     double windowLeast = 1; ///< requests that may always run
     double windowLeastShare = 0.05; ///< the same, as a share of the upstream's limit
     double windowFullShare = 0.8; ///< use of the window from which it counts as full
--- a/packages/policy/src/class_window.cpp
+++ b/packages/policy/src/class_window.cpp
@@ -15,11 +15,15 @@
 void class_window::ended(bool failedBelow, millis startedAt, millis now, int limit)
 {
     const bool wasFull = m_fullAt >= startedAt;
+    const bool fewRan = m_running <= m_peak * m_tuning.windowFewShare;
     m_running = std::max(0, m_running - 1);
     m_failedShare += ((failedBelow ? 1.0 : 0.0) - m_failedShare) * m_tuning.windowBlend;
+    if (fewRan) {
+        m_usualFailures += ((failedBelow ? 1.0 : 0.0) - m_usualFailures) * m_tuning.windowBlend;
+    }
     if (failedBelow) {
-        // A few always fail. What began before the window was last closed tells nothing of the present one.
-        if (m_failedShare > m_tuning.windowFailures && startedAt > m_closedAt) {
+        // What began before the window was last closed tells nothing of the present one.
+        if (failsTooOften() && startedAt > m_closedAt) {
             close(now, limit);
         }
         return;
@@ -33,6 +37,12 @@
     }
 }
 
+/// @return whether more requests fail than usual. Where an upstream is slow for their deadlines, some fail however few run.
+bool class_window::failsTooOften() const
+{
+    return m_failedShare > m_tuning.windowFailures + std::min(m_usualFailures, m_tuning.windowUsualMost);
+}
+
 /// Opens the window by the share of a step that falls to one answer.
 void class_window::open()
 {
@@ -44,6 +54,7 @@
 {
     const double present = m_active ? std::min<double>(m_window, m_running + 1) : m_running + 1;
     m_active = true;
+    m_peak = std::max(m_peak * m_tuning.windowPeakDecay, present);
     m_window = std::max({m_tuning.windowLeast, limit * m_tuning.windowLeastShare, present * m_tuning.windowDecrease});
     m_outage = m_failedShare > m_tuning.windowOutage;
     m_closedAt = now;
--- a/packages/policy/tests/class_window_test.cpp
+++ b/packages/policy/tests/class_window_test.cpp
@@ -162,4 +162,28 @@
     EXPECT_EQ(narrow.window(), 1);
 }
 
+/// An upstream is so slow that a quarter of its requests pass their deadlines however few run: closing the window helps nobody.
+TEST(class_window, failures_that_do_not_depend_on_the_load_do_not_keep_it_closed)
+{
+    const tunables tuning;
+    class_window window(tuning);
+    std::deque<millis> running;
+    const millis lasts{900};
+    int begun = 0;
+    int ends = 0;
+    for (millis now{0}; now < millis{40'000}; now += millis{15}) {
+        while (!running.empty() && running.front() + lasts <= now) {
+            window.ended(++ends % 4 == 0, running.front(), now, slots);
+            running.pop_front();
+        }
+        if (window.hasRoom() && static_cast<int>(running.size()) < slots) {
+            window.started(now);
+            running.push_back(now);
+            ++begun;
+        }
+    }
+    // 36 slots for 0.9 s each are 40 a second; half of that is asked for.
+    EXPECT_GT(begun, 800);
+}
+
 } // namespace
