--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -45,6 +45,7 @@
     double windowFewShare = 0.4; ///< share of the width from which it was closed up to which running requests count as few
     double windowPeakDecay = 0.95; ///< how much of that width remains with each step down
     double windowUsualMost = 0.3; ///< largest share of failures that is taken for usual
+    double windowUsualTolerance = 1.5; ///< multiple of the usual share that is borne: the last twenty requests vary that much by chance
     double windowLeast = 1; ///< requests that may always run
     double windowLeastShare = 0.05; ///< the same, as a share of the upstream's limit
     double windowFullShare = 0.8; ///< use of the window from which it counts as full
--- a/packages/policy/src/class_window.cpp
+++ b/packages/policy/src/class_window.cpp
@@ -40,7 +40,8 @@
 /// @return whether more requests fail than usual. Where an upstream is slow for their deadlines, some fail however few run.
 bool class_window::failsTooOften() const
 {
-    return m_failedShare > m_tuning.windowFailures + std::min(m_usualFailures, m_tuning.windowUsualMost);
+    const double usual = std::min(m_usualFailures, m_tuning.windowUsualMost);
+    return m_failedShare > m_tuning.windowFailures + usual * m_tuning.windowUsualTolerance;
 }
 
 /// Opens the window by the share of a step that falls to one answer.
