Read again: one moving average, one failure for unreadable answers, no state that could be derived

Cause: reading the whole change. The usual time by class repeated the average of routing; both store forms had the same failure; parent_finder counted calls only to know whether there was one; a new request was copied once more to place it; the clock was read two or three times for one event; parents were noted also where requests name them, though nobody asks for them there. Behaviour and assertions are unchanged.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -152,11 +152,12 @@
     // Step 2. A caller that goes takes its call with it
     exchange->onGone([this, id] {
         std::vector<entry_action> actions;
-        m_entry.abandon(id, monotonicNow(), actions);
+        const millis goneAt = monotonicNow();
+        m_entry.abandon(id, goneAt, actions);
         const auto found = m_entering.find(id);
         if (found != m_entering.end()) {
-            m_ledger.childEnded(found->second.parent, id, found->second.context.retries, false, monotonicNow());
-            m_parents.answered(found->second.kin, monotonicNow());
+            m_ledger.childEnded(found->second.parent, id, found->second.context.retries, false, goneAt);
+            m_parents.answered(found->second.kin, goneAt);
             noteEntered(found->second, call_outcome::unknown, refusal_reason::cancelled);
             m_entering.erase(found);
         }
@@ -414,11 +415,11 @@
     record.depth = call.context.depth;
     record.status = call.answer ? static_cast<int>(call.answer->status()) : 0;
     record.excess = call.context.place.excess;
+    const millis now = monotonicNow();
     if (reason == refusal_reason::overload) {
-        record.levelThen = m_entry.toldLevel(call.service, call.klass, monotonicNow());
+        record.levelThen = m_entry.toldLevel(call.service, call.klass, now);
     }
     record.endedAt = wallNow();
-    const millis now = monotonicNow();
     record.span = now - call.since;
     m_metrics.answered(call.service, call.rank, outcome, reason, record.span);
     const bool wentWrong = outcome != call_outcome::ran || isServerError(static_cast<std::uint32_t>(record.status));
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -139,9 +139,11 @@
         return;
     }
     const millis left = call.context.deadline - now;
-    m_parents.started(id, call.context.klass, call.context.deadline);
     auto request = std::move(call.request);
     const auto &dialect = m_profile.calls;
+    if (dialect.context.empty()) {
+        m_parents.started(id, call.context.klass, call.context.deadline);
+    }
     setField(request.fields, dialect.context, contextToken(id));
     setField(request.fields, dialect.deadline, fmt::format("{:.0f}", std::max(left.count, 1.0)));
     setField(request.fields, dialect.requestId, call.context.root);
--- a/packages/policy/include/turmericspar/policy/parent_finder.h
+++ b/packages/policy/include/turmericspar/policy/parent_finder.h
@@ -41,9 +41,8 @@
     {
         std::string klass;
         millis deadline;
-        int calls = 0; ///< that it made
         int callsRunning = 0;
-        std::string called; ///< class of its last call
+        std::string called; ///< class of its last call; empty if it made none
         millis answeredAt{-1e12}; ///< end of its last call
     };
     /// How often requests of a class had the deadline of a running call.
--- a/packages/policy/src/class_window.cpp
+++ b/packages/policy/src/class_window.cpp
@@ -17,9 +17,10 @@
     const bool wasFull = m_fullAt >= startedAt;
     const bool fewRan = m_running <= m_peak * m_tuning.windowFewShare;
     m_running = std::max(0, m_running - 1);
-    m_failedShare += ((failedBelow ? 1.0 : 0.0) - m_failedShare) * m_tuning.windowBlend;
+    const double failed = failedBelow ? 1 : 0;
+    m_failedShare += (failed - m_failedShare) * m_tuning.windowBlend;
     if (fewRan) {
-        m_usualFailures += ((failedBelow ? 1.0 : 0.0) - m_usualFailures) * m_tuning.windowBlend;
+        m_usualFailures += (failed - m_usualFailures) * m_tuning.windowBlend;
     }
     if (failedBelow) {
         // What began before the window was last closed tells nothing of the present one.
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -428,8 +428,8 @@
     for (const auto &seed : m_seeds) {
         const auto found = m_members.find(seed);
         const bool unknown = found == m_members.end();
-        const bool left = !unknown && found->second.state == member_state::left;
-        if (seed != m_self.node && ((unknown && young) || ((unknown || left) && !latelyOnly))) {
+        const bool gone = unknown || found->second.state == member_state::left;
+        if (seed != m_self.node && gone && (!latelyOnly || (unknown && young))) {
             lost.push_back(seed);
         }
     }
--- a/packages/policy/src/parent_finder.cpp
+++ b/packages/policy/src/parent_finder.cpp
@@ -72,7 +72,6 @@
 {
     const auto found = m_running.find(parent);
     if (found != m_running.end()) {
-        ++found->second.calls;
         ++found->second.callsRunning;
         found->second.called = klass;
     }
@@ -130,7 +129,7 @@
         if (!isParent(habit, call.klass)) {
             continue;
         }
-        if (call.calls == 0) {
+        if (call.called.empty()) {
             return id;
         }
         any = any == 0 ? id : any;
--- a/packages/policy/src/routing.cpp
+++ b/packages/policy/src/routing.cpp
@@ -1,5 +1,7 @@
 #include "turmericspar/policy/routing.h"
 
+#include "turmericspar/policy/moving_average.h"
+
 #include <algorithm>
 
 namespace turmericspar {
@@ -14,12 +16,6 @@
 /// How much worse an upstream looks whose node was not reached.
 constexpr double unreachedFactor = 1000;
 
-/// Moves an average towards a new value; the first value is taken whole.
-void follow(millis &average, millis value, double blend)
-{
-    average = average.count == 0 ? value : average + (value - average) * blend;
-}
-
 } // namespace
 
 routing::routing(const tunables &tuning, std::string ownDomain, std::uint64_t seed) : m_tuning(tuning), m_ownDomain(std::move(ownDomain)), m_random(seed) { }
--- a/packages/policy/src/serving.cpp
+++ b/packages/policy/src/serving.cpp
@@ -1,5 +1,7 @@
 #include "turmericspar/policy/serving.h"
 
+#include "turmericspar/policy/moving_average.h"
+
 #include <algorithm>
 
 namespace turmericspar {
@@ -66,7 +68,7 @@
 {
     const bool isRoot = call.context.depth == 0;
     const millis startBy = call.context.deadline - usualTime(call.context.klass, !isRoot) * m_tuning.serviceTimeMargin;
-    const waiting_call offered{call.id, call.context.place, !isRoot, startBy, now, call.context.klass};
+    waiting_call placed{call.id, call.context.place, !isRoot, startBy, now, call.context.klass};
 
     // Step 1. An upstream that leaves takes nothing
     if (m_draining) {
@@ -74,13 +76,12 @@
         return;
     }
     if (m_mode == policy_mode::none) {
-        enqueue(offered, actions);
+        enqueue(placed, actions);
         startWaiting(now, actions);
         return;
     }
 
     // Step 2. A new request is placed within or above the limit of its class, for all hops to come
-    waiting_call placed = offered;
     if (isRoot && !withinLimit(call.context.klass, now)) {
         call.context.place.excess = true;
         placed.place.excess = true;
@@ -169,7 +170,7 @@
         return;
     }
     const int running = static_cast<int>(m_running.size());
-    const auto ended = found->second;
+    const auto ended = std::move(found->second);
     const millis startedAt = ended.startedAt;
     const millis wholeTime = now - startedAt;
     if (!ended.admitted) {
@@ -180,8 +181,7 @@
         m_limiter.answered(report.ownTime, report.shed, running, startedAt, now);
     }
     if (report.answered && !report.shed) {
-        auto &usual = m_usualTimes[{ended.klass, ended.admitted}];
-        usual = usual.count == 0 ? wholeTime : usual + (wholeTime - usual) * m_tuning.latencyBlend;
+        follow(m_usualTimes[{ended.klass, ended.admitted}], wholeTime, m_tuning.latencyBlend);
     }
     startWaiting(now, actions);
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
--- a/packages/policy/tests/class_window_test.cpp
+++ b/packages/policy/tests/class_window_test.cpp
@@ -44,6 +44,16 @@
     return seen;
 }
 
+/// Lets requests run one after the other that all fail below.
+void failAll(class_window &window, int count, millis lasts, millis gap, int limit, millis &now)
+{
+    for (int i = 0; i < count; ++i) {
+        window.started(now);
+        window.ended(true, now, now + lasts, limit);
+        now += gap;
+    }
+}
+
 TEST(class_window, a_surge_whose_calls_have_no_room_below_is_let_in_as_far_as_it_comes_through)
 {
     const tunables tuning;
@@ -82,11 +92,7 @@
     const tunables tuning;
     class_window window(tuning);
     millis now{0};
-    for (int i = 0; i < 100; ++i) {
-        window.started(now);
-        window.ended(true, now, now + millis{100}, slots);
-        now += millis{1000};
-    }
+    failAll(window, 100, {100}, {1000}, slots, now);
     EXPECT_TRUE(window.hasRoom());
 }
 
@@ -95,11 +101,7 @@
     const tunables tuning;
     class_window window(tuning);
     millis now{0};
-    for (int i = 0; i < 10; ++i) {
-        window.started(now);
-        window.ended(true, now, now + millis{20}, slots);
-        now += millis{100};
-    }
+    failAll(window, 10, {20}, {100}, slots, now);
     EXPECT_GT(window.window(), 0);
     for (int i = 0; i < 1000 && window.window() > 0; ++i) {
         window.started(now);
@@ -136,11 +138,7 @@
     constexpr int limit = 172;
     class_window window(tuning);
     millis now{0};
-    for (int i = 0; i < 200; ++i) {
-        window.started(now);
-        window.ended(true, now, now + millis{10}, limit);
-        now += millis{20};
-    }
+    failAll(window, 200, {10}, {20}, limit, now);
     ASSERT_GT(window.window(), 0);
     EXPECT_LT(timeToOpen(window, 40, limit, {400}, now, {10'000}), millis{2000});
 }
@@ -151,13 +149,8 @@
     class_window wide(tuning);
     class_window narrow(tuning);
     millis now{0};
-    for (int i = 0; i < 200; ++i) {
-        wide.started(now);
-        wide.ended(true, now, now + millis{10}, 172);
-        narrow.started(now);
-        narrow.ended(true, now, now + millis{10}, 12);
-        now += millis{20};
-    }
+    failAll(wide, 200, {10}, {20}, 172, now);
+    failAll(narrow, 200, {10}, {20}, 12, now);
     EXPECT_GE(wide.window(), 172 * tuning.windowLeastShare);
     EXPECT_EQ(narrow.window(), 1);
 }
--- a/packages/store/include/turmericspar/store/store_form.h
+++ b/packages/store/include/turmericspar/store/store_form.h
@@ -71,6 +71,9 @@
     virtual result<std::string> readLease(const http_response &response) const = 0;
 };
 
+/// @return the failure of an answer that can't be read.
+failure malformedAnswer(const std::string &detail);
+
 /// Makes the form of the Consul KV store.
 std::unique_ptr<store_form> makeConsulForm();
 
--- a/packages/store/src/consul_form.cpp
+++ b/packages/store/src/consul_form.cpp
@@ -10,11 +10,6 @@
 
 using nlohmann::json;
 
-failure malformed(const std::string &detail)
-{
-    return {errc::malformed_message, "read store", {}, detail};
-}
-
 failure unavailable(const http_response &response)
 {
     return {errc::unavailable, "call store", {}, "status " + std::to_string(response.status)};
@@ -70,11 +65,11 @@
         }
         const auto body = json::parse(response.body, nullptr, false);
         if (!body.is_array()) {
-            return malformed("the answer is no JSON list");
+            return malformedAnswer("the answer is no JSON list");
         }
         for (const auto &item : body) {
             if (!item.is_object() || !item.contains("Key") || !item["Key"].is_string() || !item.contains("ModifyIndex")) {
-                return malformed("an entry has no key");
+                return malformedAnswer("an entry has no key");
             }
             const bool hasValue = item.contains("Value") && item["Value"].is_string();
             const auto value = hasValue ? fromBase64(item["Value"].get<std::string>()) : std::string();
@@ -123,6 +118,11 @@
 
 } // namespace
 
+failure malformedAnswer(const std::string &detail)
+{
+    return {errc::malformed_message, "read store", {}, detail};
+}
+
 std::string toBase64(const std::string &bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3), '\0');
