Log and export the limit and the departure that upstreams state in answers

Nothing showed whether a node had read such a statement, so the hypotheses of docs/incidents/limit-not-obeyed.md could not be told apart. The fields are read (platform/ names them; the own interface gets Upstream-Rate-Limit and Upstream-Leaving), changes are logged as upstream_limit and upstream_leaving, and two gauges show them. Nothing acts on them yet.

Ruled out: that the statement is lost, overwritten or applied by each node alone.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -159,6 +159,8 @@
     status.running = m_serving.running();
     status.limit = m_serving.limit();
     status.shedLevel = m_serving.level();
+    status.rateLimit = m_statement.rateLimit;
+    status.leaving = m_statement.leaving;
     status.connections = m_pool.openCount();
     status.retries = m_entry.retriesSpent();
     status.silentCalls = m_silentCallCount;
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -21,6 +21,7 @@
 #include "turmericspar/policy/suspects.h"
 #include "turmericspar/upstream/announcement.h"
 #include "turmericspar/upstream/upstream_pool.h"
+#include "turmericspar/upstream/upstream_statement.h"
 
 #include <functional>
 #include <limits>
@@ -50,6 +51,8 @@
     std::size_t running = 0; ///< calls at the upstream
     int limit = 0; ///< concurrency limit of the upstream
     double shedLevel = 0; ///< importance below which new requests are refused
+    std::optional<double> rateLimit; ///< requests a second that the upstream states that it takes; nothing if it states no limit
+    bool leaving = false; ///< whether the upstream states that it is about to exit
     std::size_t connections = 0; ///< open connections to the upstream
     std::uint64_t retries = 0; ///< since the start
     std::uint64_t silentCalls = 0; ///< calls ended because their upstream connection went silent, since the start
@@ -187,6 +190,7 @@
     void serve(call_origin origin, call_context context, http_request request, const std::string &callerService);
     void start(call_id id);
     void onUpstreamOutcome(call_id id, http_outcome outcome);
+    void readStatements(const http_response &response);
     void endUpstreamCall(call_id id, wire::CallReply reply, key_update keyUpdate);
     void refuseUpstreamCall(call_id id, refusal_reason reason);
     void cancelUpstreamCall(call_id id, refusal_reason reason);
@@ -238,6 +242,7 @@
     std::map<std::string, reported_levels> m_dependencyLevels; ///< by class: shed levels reported by the services that this node's upstream calls
     std::string m_service;
     announcement m_announcement; ///< the last one of the upstream
+    upstream_statement m_statement; ///< in the last answer of the upstream
     bool m_operatorDrain = false;
     bool m_shuttingDown = false;
     int m_targetConnections = -1;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -227,10 +227,33 @@
     return dialect.signature.empty() || ((!success || response.fields.find(dialect.signature)) && !response.fields.find("Content-Encoding"));
 }
 
+/// Logs a change of what the upstream states about itself in its answers.
+void call_path::readStatements(const http_response &response)
+{
+    auto statement = readStatement(response.fields, m_profile.calls.rateLimit, m_profile.calls.leaving);
+    if (!statement.malformedLimit.empty() && statement.malformedLimit != m_statement.malformedLimit) {
+        logEvent(log_level::warning, "upstream_limit_malformed", {{"instance", m_announcement.instance}, {"value", statement.malformedLimit}});
+    }
+    if (statement.rateLimit != m_statement.rateLimit) {
+        logEvent(log_level::info,
+                 "upstream_limit",
+                 {{"service", m_service}, {"instance", m_announcement.instance}, {"per_second", statement.rateLimit.value_or(0)}});
+    }
+    if (statement.leaving != m_statement.leaving) {
+        logEvent(log_level::info,
+                 "upstream_leaving",
+                 {{"service", m_service}, {"instance", m_announcement.instance}, {"leaving", statement.leaving ? "true" : "false"}});
+    }
+    m_statement = std::move(statement);
+}
+
 /// Handles the upstream's answer to a call, or the failure of its connection.
 void call_path::onUpstreamOutcome(call_id id, http_outcome outcome)
 {
     wire::CallReply reply;
+    if (!outcome.error && isComplete(outcome.response)) {
+        readStatements(outcome.response);
+    }
     if (outcome.error) {
         const bool timedOut = outcome.error == errc::timeout;
         const auto reason = !outcome.sent ? refusal_reason::unreachable : (timedOut ? refusal_reason::deadline : refusal_reason::broken);
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -221,6 +221,8 @@
             {"running", calls.running},
             {"limit", calls.limit},
             {"shed_level", calls.shedLevel},
+            {"rate_limit", calls.rateLimit ? json(*calls.rateLimit) : json()},
+            {"leaving", calls.leaving},
             {"connections", calls.connections},
             {"retries", calls.retries},
             {"silent_calls", calls.silentCalls},
@@ -279,6 +281,9 @@
     metrics.setGauge("turmericspar_running", "Calls at the upstream", static_cast<double>(calls.running));
     metrics.setGauge("turmericspar_waiting", "Calls in the queue", static_cast<double>(calls.waiting));
     metrics.setGauge("turmericspar_shed_level", "Importance below which new requests are refused", calls.shedLevel);
+    metrics.setGauge(
+        "turmericspar_upstream_rate_limit", "Requests a second that the upstream states that it takes; 0 if it states none", calls.rateLimit.value_or(0));
+    metrics.setGauge("turmericspar_upstream_leaving", "1 if the upstream states in its answers that it leaves", calls.leaving ? 1 : 0);
     metrics.setGauge("turmericspar_retries", "Retries spent since the start", static_cast<double>(calls.retries));
     metrics.setGauge("turmericspar_silent_calls", "Calls whose upstream connection went silent, since the start", static_cast<double>(calls.silentCalls));
     metrics.setGauge("turmericspar_config_version", "Configuration version in force", static_cast<double>(m_control.versions().version()));
--- a/packages/caller/include/turmericspar/caller/call_fields.h
+++ b/packages/caller/include/turmericspar/caller/call_fields.h
@@ -29,6 +29,8 @@
 inline constexpr const char *configVersion = "Config-Version";
 inline constexpr const char *retryAfter = "Retry-After";
 inline constexpr const char *rank = "Call-Rank";
+inline constexpr const char *rateLimit = "Upstream-Rate-Limit";
+inline constexpr const char *leaving = "Upstream-Leaving";
 } // namespace field
 
 /// The header field names used with callers and upstreams. A field whose name is empty is neither read nor written.
@@ -51,6 +53,8 @@
     std::string notRun = field::outcome; ///< field by which a refusal states that the call did not run
     std::string notRunValue = "not-run"; ///< the value that states it; empty if any value does
     std::string load; ///< "running,waiting,slots"
+    std::string rateLimit = field::rateLimit; ///< requests a second that the upstream takes from all nodes together
+    std::string leaving = field::leaving; ///< 1 if the upstream is about to exit
     std::string signature; ///< present in every complete response of an upstream; empty if responses carry no signature
     bool echoesRequestId = false; ///< whether each response carries the id of its request
 
