--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -307,13 +307,39 @@
     out.set_method(request.method);
     out.set_target(request.target);
     out.set_body(std::move(request.body));
+    const auto condition = m_routes.condition(action.node);
+    if (condition.run != 0) {
+        out.mutable_condition()->set_run(condition.run);
+        out.mutable_condition()->set_leaving(condition.leaving);
+        if (condition.rateLimit) {
+            out.mutable_condition()->set_rate_limit(*condition.rateLimit);
+        }
+    }
     fieldsToWire(request.fields, m_profile.calls.commonFields, out);
     m_callbacks.sendRequest(action.node, std::move(out), context.deadline);
 }
 
+/// Records what the upstream of a serving node states, so that the node learns it from the next request if it starts anew.
+void call_path::recordCondition(const node_id &from, const wire::CallReply &reply)
+{
+    if (from == m_self) {
+        return;
+    }
+    upstream_condition condition;
+    if (reply.has_condition()) {
+        condition.run = reply.condition().run();
+        condition.leaving = reply.condition().leaving();
+        condition.rateLimit = reply.condition().has_rate_limit() ? std::optional<double>(reply.condition().rate_limit()) : std::nullopt;
+    } else if (reply.outcome() != static_cast<std::uint32_t>(call_outcome::ran)) {
+        // A node that has just started refuses calls before it knows what its upstream states.
+        return;
+    }
+    m_routes.recordCondition(from, condition);
+}
+
 void call_path::onReply(const node_id &from, wire::CallReply &reply)
 {
-    (void)from;
+    recordCondition(from, reply);
     const auto found = m_entryCalls.find(reply.call());
     if (found == m_entryCalls.end()) {
         return;
@@ -331,6 +357,7 @@
     result.level = reply.level();
     result.limit = static_cast<int>(reply.limit());
     result.pending = static_cast<int>(reply.pending());
+    result.roomIn = millis{std::max(reply.room_in_ms(), 0.0)};
 
     // The shed level of a called service also counts against the class of the call that called it
     auto &call = found->second;
@@ -388,7 +415,7 @@
         }
         addOutcomeFields(response, action.outcome);
     } else {
-        response = refusalResponse(falseProof ? refusal_reason::broken : action.reason, action.outcome, {});
+        response = refusalResponse(falseProof ? refusal_reason::broken : action.reason, action.outcome, {}, action.retryIn);
     }
     if (action.finalFailure) {
         setField(response.fields, m_profile.calls.finalFailure, "1");
@@ -466,7 +493,8 @@
     execute(abandoned);
 }
 
-http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail)
+/// @param retryIn the time after which the service may have room for the call; 0 if that is not known
+http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail, millis retryIn)
 {
     const std::string reasonName(refusalNames.name(reason));
     const int status = statusFor(m_profile.calls, reason, outcome);
@@ -475,7 +503,7 @@
     setField(response.fields, m_profile.calls.refusedBy, m_settings.name);
     if (status == statusUnavailable) {
         const double spread = std::uniform_real_distribution<double>(0, m_settings.tuning.retryAfterSpread.count)(m_random);
-        const double wait = (m_settings.tuning.retryAfterMin.count + spread) / oneSecond.count;
+        const double wait = (std::max(m_settings.tuning.retryAfterMin, retryIn).count + spread) / oneSecond.count;
         response.fields.add(field::retryAfter, m_profile.calls.fractionalRetryAfter ? fmt::format("{:.2f}", wait) : fmt::format("{:.0f}", std::ceil(wait)));
     }
     addOutcomeFields(response, outcome);
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -22,6 +22,15 @@
     return options;
 }
 
+/// @return a number that identifies a run of the upstream process on all nodes; 0 if its announcements do not tell runs apart.
+std::uint64_t upstreamRunOf(const announcement &received)
+{
+    if (received.instance.empty() && !received.startedAt) {
+        return 0;
+    }
+    return stableHash(received.instance + "\n" + std::to_string(received.startedAt.value_or(0)));
+}
+
 } // namespace
 
 request_digest digestOf(const http_request &request)
@@ -79,6 +88,12 @@
         m_once.clear();
     }
     m_announcement = received;
+    // An upstream whose announcements do not tell runs apart is taken for a new run once it was gone.
+    const auto run = upstreamRunOf(received);
+    if (run != m_upstreamRun || (run == 0 && m_service.empty())) {
+        m_upstreamRun = run;
+        m_upstreamLeaving = false;
+    }
     m_service = received.service;
     m_serving.announce(received.slots, connectionsMax(), received.cold);
     m_targetConnections = -1;
@@ -119,7 +134,7 @@
 
 void call_path::applyDrain()
 {
-    const bool draining = m_announcement.draining || m_operatorDrain || m_shuttingDown;
+    const bool draining = m_announcement.draining || m_upstreamLeaving || m_operatorDrain || m_shuttingDown;
     if (draining != m_serving.draining()) {
         logEvent(log_level::info, "upstream_draining", {{"service", m_service}, {"draining", draining ? "true" : "false"}});
     }
@@ -159,8 +174,9 @@
     status.running = m_serving.running();
     status.limit = m_serving.limit();
     status.shedLevel = m_serving.level();
-    status.rateLimit = m_statement.rateLimit;
-    status.leaving = m_statement.leaving;
+    status.rateLimit = m_serving.rateLimit();
+    status.leaving = m_upstreamLeaving;
+    status.rateLimited = m_rateLimitedCount;
     status.connections = m_pool.openCount();
     status.retries = m_entry.retriesSpent();
     status.silentCalls = m_silentCallCount;
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -31,6 +31,10 @@
 
 namespace turmericspar {
 
+namespace wire {
+class UpstreamCondition;
+} // namespace wire
+
 /// Callbacks through which the call path uses the rest of the node.
 struct call_path_callbacks
 {
@@ -40,6 +44,7 @@
     std::function<void(const node_id &, const wire::CallCancel &)> sendCancel;
     std::function<void(const connection_id &, wire::CallReply &&)> sendReply;
     std::function<void(const std::vector<suspicion> &)> broadcastSuspicions; ///< to the nodes of the same service
+    std::function<void()> onReadinessChanged; ///< the upstream stopped or resumed taking new work because of what it stated in an answer
     once_guard_transport once;
 };
 
@@ -55,6 +60,7 @@
     bool leaving = false; ///< whether the upstream states that it is about to exit
     std::size_t connections = 0; ///< open connections to the upstream
     std::uint64_t retries = 0; ///< since the start
+    std::uint64_t rateLimited = 0; ///< calls refused because of the upstream's rate limit, since the start
     std::uint64_t silentCalls = 0; ///< calls ended because their upstream connection went silent, since the start
     std::size_t suspects = 0; ///< requests that are suspected of crashing upstreams, or refused for it
     bool draining = false;
@@ -163,6 +169,7 @@
         request_digest digest = 0;
         millis arrivedAt;
         millis startedAt; ///< 0 before it is started
+        std::uint64_t upstreamRun = 0; ///< run of the upstream at which it was started
     };
 
     /// Whether the end of a call is recorded for its idempotency key.
@@ -185,14 +192,18 @@
     void forward(const dispatch_action &action);
     void finish(const dispatch_action &action);
     void cancelChildren(const std::vector<call_id> &children);
-    http_response refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail);
+    http_response refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail, millis retryIn = {0});
     void addOutcomeFields(http_response &response, call_outcome outcome);
     void serve(call_origin origin, call_context context, http_request request, const std::string &callerService);
     void start(call_id id);
     void onUpstreamOutcome(call_id id, http_outcome outcome);
-    void readStatements(const http_response &response);
+    void readStatements(call_id id, const http_response &response);
+    void applyReportedCondition(const wire::UpstreamCondition &reported);
+    void logRateLimit(std::optional<double> previous, std::string_view source) const;
+    void setLeaving(std::string_view source);
+    void recordCondition(const node_id &from, const wire::CallReply &reply);
     void endUpstreamCall(call_id id, wire::CallReply reply, key_update keyUpdate);
-    void refuseUpstreamCall(call_id id, refusal_reason reason);
+    void refuseUpstreamCall(call_id id, refusal_reason reason, millis roomIn = {0});
     void cancelUpstreamCall(call_id id, refusal_reason reason);
     void handleSilentConnections();
     void resizeConnectionPool();
@@ -236,13 +247,15 @@
     call_id m_activeSuspect = 0; ///< the only suspect that is queued or running at the upstream; 0 if there is none
     call_id m_nextCallId = 1;
     std::uint64_t m_silentCallCount = 0;
+    std::uint64_t m_rateLimitedCount = 0;
     std::unordered_map<call_id, entry_call> m_entryCalls;
     std::unordered_map<call_id, upstream_call> m_upstreamCalls;
     std::map<std::pair<connection_id, call_id>, call_id> m_upstreamCallsByOrigin;
     std::map<std::string, reported_levels> m_dependencyLevels; ///< by class: shed levels reported by the services that this node's upstream calls
     std::string m_service;
     announcement m_announcement; ///< the last one of the upstream
-    upstream_statement m_statement; ///< in the last answer of the upstream
+    std::uint64_t m_upstreamRun = 0; ///< identifies the present run of the upstream; 0 if its announcements do not tell
+    bool m_upstreamLeaving = false; ///< whether the present run has stated in an answer that it is about to exit
     bool m_operatorDrain = false;
     bool m_shuttingDown = false;
     int m_targetConnections = -1;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -50,6 +50,9 @@
         replyToOrigin(origin, std::move(reply));
         return;
     }
+    if (request.has_condition()) {
+        applyReportedCondition(request.condition());
+    }
     http_request out;
     out.method = request.method();
     out.target = request.target();
@@ -121,7 +124,7 @@
             start(action.id);
             break;
         case admission_action::action_type::refuse:
-            refuseUpstreamCall(action.id, action.reason);
+            refuseUpstreamCall(action.id, action.reason, action.roomIn);
             break;
         case admission_action::action_type::cancel:
             cancelUpstreamCall(action.id, action.reason);
@@ -135,6 +138,7 @@
     auto &call = m_upstreamCalls.at(id);
     const millis now = monotonicNow();
     call.startedAt = now;
+    call.upstreamRun = m_upstreamRun;
     m_childCalls.open(id, call.context);
     if (!admitKey(id, call)) {
         return;
@@ -227,24 +231,69 @@
     return dialect.signature.empty() || ((!success || response.fields.find(dialect.signature)) && !response.fields.find("Content-Encoding"));
 }
 
-/// Logs a change of what the upstream states about itself in its answers.
-void call_path::readStatements(const http_response &response)
+/// Applies what the upstream states about itself in a complete answer to a call that has not ended yet.
+void call_path::readStatements(call_id id, const http_response &response)
+{
+    const auto found = m_upstreamCalls.find(id);
+    if (found == m_upstreamCalls.end() || found->second.upstreamRun != m_upstreamRun) {
+        return;
+    }
+    const auto statement = readStatement(response.fields, m_profile.calls.rateLimit, m_profile.calls.leaving);
+    const bool malformed = !statement.malformedLimit.empty();
+    if (malformed && m_decisions.admit(monotonicNow())) {
+        m_decisions.write("upstream_limit_malformed", {{"instance", m_announcement.instance}, {"value", statement.malformedLimit}});
+    }
+    // Only an answer to a call that ran lifts the limit: a refusal may come from a part of the upstream that knows of none.
+    const bool lifts = !malformed && !provesNotRun(response);
+    if (statement.rateLimit || lifts) {
+        const auto previous = m_serving.rateLimit();
+        m_serving.rateStated(statement.rateLimit, id, monotonicNow());
+        logRateLimit(previous, "answer");
+    }
+    if (statement.leaving) {
+        setLeaving("answer");
+    }
+}
+
+/// Logs the rate limit of the upstream if it has changed.
+/// @param source how this node knows of it
+void call_path::logRateLimit(std::optional<double> previous, std::string_view source) const
+{
+    const auto limit = m_serving.rateLimit();
+    if (limit != previous) {
+        logEvent(
+            log_level::info,
+            "upstream_limit",
+            {{"service", m_service}, {"instance", m_announcement.instance}, {"per_second", limit ? fmt::format("{:g}", *limit) : "none"}, {"source", source}});
+    }
+}
+
+/// Stops new work for the present run of the upstream, which has stated that it is about to exit. A later announcement does not undo this.
+/// @param source how this node knows of it
+void call_path::setLeaving(std::string_view source)
 {
-    auto statement = readStatement(response.fields, m_profile.calls.rateLimit, m_profile.calls.leaving);
-    if (!statement.malformedLimit.empty() && statement.malformedLimit != m_statement.malformedLimit) {
-        logEvent(log_level::warning, "upstream_limit_malformed", {{"instance", m_announcement.instance}, {"value", statement.malformedLimit}});
+    if (std::exchange(m_upstreamLeaving, true)) {
+        return;
     }
-    if (statement.rateLimit != m_statement.rateLimit) {
-        logEvent(log_level::info,
-                 "upstream_limit",
-                 {{"service", m_service}, {"instance", m_announcement.instance}, {"per_second", statement.rateLimit.value_or(0)}});
+    logEvent(log_level::info, "upstream_leaving", {{"service", m_service}, {"instance", m_announcement.instance}, {"source", source}});
+    applyDrain();
+    m_callbacks.onReadinessChanged();
+}
+
+/// Applies what another node knows about the upstream. This node may have started after the upstream stated it.
+void call_path::applyReportedCondition(const wire::UpstreamCondition &reported)
+{
+    if (m_upstreamRun == 0 || reported.run() != m_upstreamRun) {
+        return;
+    }
+    if (reported.leaving()) {
+        setLeaving("node");
     }
-    if (statement.leaving != m_statement.leaving) {
-        logEvent(log_level::info,
-                 "upstream_leaving",
-                 {{"service", m_service}, {"instance", m_announcement.instance}, {"leaving", statement.leaving ? "true" : "false"}});
+    if (reported.has_rate_limit() && reported.rate_limit() >= 0) {
+        const auto previous = m_serving.rateLimit();
+        m_serving.rateReported(reported.rate_limit(), monotonicNow());
+        logRateLimit(previous, "node");
     }
-    m_statement = std::move(statement);
 }
 
 /// Handles the upstream's answer to a call, or the failure of its connection.
@@ -252,7 +301,7 @@
 {
     wire::CallReply reply;
     if (!outcome.error && isComplete(outcome.response)) {
-        readStatements(outcome.response);
+        readStatements(id, outcome.response);
     }
     if (outcome.error) {
         const bool timedOut = outcome.error == errc::timeout;
@@ -368,6 +417,8 @@
                            {"limit", m_serving.limit()},
                            {"level", record.levelAtEnd},
                            {"window", m_serving.window(record.klass)},
+                           {"rate_limit", m_serving.rateLimit().value_or(0)},
+                           {"room_in_ms", reply.room_in_ms()},
                            {"usual_ms", m_serving.averageTime(record.klass, record.depth > 0)},
                            {"deadline_in_ms", call.context.deadline - now},
                            {"started", call.startedAt.count > 0 ? "true" : "false"}});
@@ -378,7 +429,8 @@
 }
 
 /// Refuses a call that was not started.
-void call_path::refuseUpstreamCall(call_id id, refusal_reason reason)
+/// @param roomIn see admission_action
+void call_path::refuseUpstreamCall(call_id id, refusal_reason reason, millis roomIn)
 {
     const auto found = m_upstreamCalls.find(id);
     if (found == m_upstreamCalls.end()) {
@@ -390,6 +442,8 @@
     wire::CallReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
     reply.set_reason(static_cast<std::uint32_t>(reason));
+    reply.set_room_in_ms(roomIn.count);
+    m_rateLimitedCount += roomIn.count > 0 ? 1 : 0;
     addLoadReport(call.context.klass, reply);
     recordUpstreamCall(call, reply);
     replyToOrigin(call.origin, std::move(reply));
@@ -462,6 +516,15 @@
     reply.set_level(std::max(m_serving.level(), dependencyLevel));
     reply.set_limit(static_cast<std::uint32_t>(std::max(m_serving.limit(), 0)));
     reply.set_pending(static_cast<std::uint32_t>(m_serving.running() + m_serving.waiting()));
+    const auto rateLimit = m_serving.rateLimit();
+    if (m_upstreamRun != 0 && (rateLimit || m_upstreamLeaving)) {
+        auto &condition = *reply.mutable_condition();
+        condition.set_run(m_upstreamRun);
+        condition.set_leaving(m_upstreamLeaving);
+        if (rateLimit) {
+            condition.set_rate_limit(*rateLimit);
+        }
+    }
 }
 
 void call_path::replyToOrigin(const call_origin &origin, wire::CallReply &&reply)
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -82,6 +82,7 @@
     callbacks.sendCancel = [this](const node_id &node, const wire::CallCancel &cancel) { m_links.sendCancel(node, cancel); };
     callbacks.sendReply = [this](const connection_id &to, wire::CallReply &&reply) { m_links.reply(to, std::move(reply)); };
     callbacks.broadcastSuspicions = [this](const std::vector<suspicion> &suspicions) { broadcastSuspicions(suspicions); };
+    callbacks.onReadinessChanged = [this] { m_control.setSelf(m_calls.service(), m_calls.ready()); };
     callbacks.once.sendAsk = [this](const node_id &node, const wire::OnceAsk &ask) { m_links.sendOnceAsk(node, ask); };
     callbacks.once.sendAnswer = [this](const connection_id &to, wire::OnceAnswer &&answer) { m_links.sendOnceAnswer(to, std::move(answer)); };
     return callbacks;
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -283,6 +283,8 @@
     metrics.setGauge("turmericspar_shed_level", "Importance below which new requests are refused", calls.shedLevel);
     metrics.setGauge(
         "turmericspar_upstream_rate_limit", "Requests a second that the upstream states that it takes; 0 if it states none", calls.rateLimit.value_or(0));
+    metrics.setGauge(
+        "turmericspar_rate_limited_calls", "Calls refused because of the upstream's rate limit, since the start", static_cast<double>(calls.rateLimited));
     metrics.setGauge("turmericspar_upstream_leaving", "1 if the upstream states in its answers that it leaves", calls.leaving ? 1 : 0);
     metrics.setGauge("turmericspar_retries", "Retries spent since the start", static_cast<double>(calls.retries));
     metrics.setGauge("turmericspar_silent_calls", "Calls whose upstream connection went silent, since the start", static_cast<double>(calls.silentCalls));
--- a/bench/replay/standin_thread.cpp
+++ b/bench/replay/standin_thread.cpp
@@ -192,6 +192,12 @@
     case event_kind::undrain:
         upstream.setDraining(false);
         break;
+    case event_kind::state_limit:
+        upstream.setStatedLimit(begins ? event.factor : 0);
+        break;
+    case event_kind::state_leaving:
+        upstream.setLeaving(begins);
+        break;
     default:
         break;
     }
--- a/bench/replay/trace.h
+++ b/bench/replay/trace.h
@@ -64,9 +64,11 @@
     silence,
     cut,
     delay,
-    loss
+    loss,
+    state_limit,
+    state_leaving
 };
-inline constexpr name_table<event_kind, 15> eventKindNames{{"slow",
+inline constexpr name_table<event_kind, 17> eventKindNames{{"slow",
                                                             "crash",
                                                             "drain",
                                                             "undrain",
@@ -80,7 +82,9 @@
                                                             "silence",
                                                             "cut",
                                                             "delay",
-                                                            "loss"}};
+                                                            "loss",
+                                                            "state-limit",
+                                                            "state-leaving"}};
 
 /// A fault or an operation during a span of the trace.
 struct trace_event
--- a/bench/standins/upstream_standin.cpp
+++ b/bench/standins/upstream_standin.cpp
@@ -4,6 +4,7 @@
 #include "turmericspar/caller/call_fields.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace turmericspar {
@@ -74,6 +75,7 @@
     }
     m_up = true;
     m_startedAt = monotonicNow();
+    m_bornAt = wallNow();
     m_announceTimer = m_loop.every(announcePeriod, [this] { announce(); });
     announce();
     return bound;
@@ -85,7 +87,9 @@
         return;
     }
     const bool cold = monotonicNow() - m_startedAt < m_shape.coldStart;
-    const nlohmann::json said{{"service", m_shape.service},
+    const nlohmann::json said{{"instance", m_announced.text()},
+                              {"started_at_ms", static_cast<std::uint64_t>(m_bornAt.count)},
+                              {"service", m_shape.service},
                               {"address", m_announced.text()},
                               {"slots", m_shape.announcedSlots > 0 ? m_shape.announcedSlots : m_shape.slots},
                               {"connections", m_shape.connections},
@@ -279,6 +283,12 @@
     if (!work->failedCall.empty()) {
         response.fields.add("X-Failed-Call", work->failedCall);
     }
+    if (m_statedLimit > 0) {
+        response.fields.add(field::rateLimit, fmt::format("{:g}", m_statedLimit));
+    }
+    if (m_leaving) {
+        response.fields.add(field::leaving, "1");
+    }
     response.body = answerChecksum(work->root, m_shape.service) + "\n";
     // The server writes the length itself, but for an answer to HEAD, which has no body to count.
     response.fields.add("Content-Length", std::to_string(response.body.size()));
--- a/bench/standins/upstream_standin.h
+++ b/bench/standins/upstream_standin.h
@@ -70,6 +70,10 @@
     /// Answers every call at once with an error, as a broken upstream does.
     void setFailing(bool failing) { m_failing = failing; }
     void setDraining(bool draining);
+    /// States in answers how many requests a second it takes, without acting on it; 0 states no limit.
+    void setStatedLimit(double perSecond) { m_statedLimit = perSecond; }
+    /// States in answers that it is about to exit, while its announcements go on as before.
+    void setLeaving(bool leaving) { m_leaving = leaving; }
     /// Dies now: cuts every connection and stays away.
     /// @param downtime how long until it is back, cold
     void crash(millis downtime);
@@ -114,8 +118,11 @@
     int m_poisoned = 0;
     bool m_failing = false;
     bool m_draining = false;
+    bool m_leaving = false;
+    double m_statedLimit = 0;
     bool m_up = false;
     millis m_startedAt{0};
+    millis m_bornAt{0}; ///< start of this run by the wall clock
     std::vector<run_record> m_records;
     event_watcher_ptr m_announceTimer;
     event_watcher_ptr m_restart;
--- a/packages/policy/include/turmericspar/policy/admission_controller.h
+++ b/packages/policy/include/turmericspar/policy/admission_controller.h
@@ -6,6 +6,7 @@
 #include "turmericspar/policy/class_window.h"
 #include "turmericspar/policy/configuration.h"
 #include "turmericspar/policy/limiter.h"
+#include "turmericspar/policy/request_pacer.h"
 #include "turmericspar/policy/shed_level.h"
 #include "turmericspar/policy/token_bucket.h"
 
@@ -33,6 +34,7 @@
     action_type type = action_type::start;
     call_id id = 0;
     refusal_reason reason = refusal_reason::none;
+    millis roomIn{0}; ///< for a refusal because of the upstream's rate limit: the time after which such a call may find room; else 0
 };
 
 /// Result of a call that was started.
@@ -66,6 +68,13 @@
     /// @param share this upstream's share of a limit: 1 / number of upstreams of the service
     void configure(const configuration &declared, double share);
 
+    /// Applies what an answer of the upstream states about the rate of requests that it takes.
+    /// @param perSecond requests a second; nothing if the answer states no limit
+    /// @param id the answered call, which has not ended yet
+    void rateStated(std::optional<double> perSecond, call_id id, millis now);
+    /// Applies a rate limit of the upstream that another node reports.
+    void rateReported(double perSecond, millis now) { m_pacer.reported(perSecond, now); }
+
     /// Decides on a new call. May set `excess` in its priority.
     /// @param dependencyLevel the highest shed level of the services that this upstream calls for the call's class
     void offer(offered_call &call, double dependencyLevel, millis now, std::vector<admission_action> &actions);
@@ -82,6 +91,8 @@
     /// @return the shed level: the importance below which new requests are refused.
     double level() const { return m_level.level(); }
     int limit() const;
+    /// @return the requests a second that the upstream takes; nothing if it states no limit.
+    std::optional<double> rateLimit() const { return m_pacer.limit(); }
     /// @return how many requests of a class may run at once; 0 if their number is not limited.
     double window(const std::string &klass) const;
     std::size_t waiting() const { return m_queue.size(); }
@@ -96,14 +107,19 @@
 private:
     void startWaiting(millis now, std::vector<admission_action> &actions);
     void start(const waiting_call &call, millis now, std::vector<admission_action> &actions);
-    void enqueue(const waiting_call &call, std::vector<admission_action> &actions);
-    std::size_t queueCapacity(bool admitted) const;
+    void enqueue(waiting_call call, millis now, std::vector<admission_action> &actions);
+    void refuseExpired(call_id id, millis now, std::vector<admission_action> &actions);
+    void refuseForRoom(call_id id, millis now, std::vector<admission_action> &actions);
+    std::size_t queueCapacity(bool admitted, millis now);
+    millis timeToRoom(millis now);
+    bool mayStart(millis now);
     bool takeFromClassLimit(const std::string &klass, millis now);
     void refuse(call_id id, refusal_reason reason, std::vector<admission_action> &actions);
 
     const tunables &m_tuning;
     policy_mode m_mode;
     limiter m_limiter;
+    request_pacer m_pacer;
     shed_level m_level;
     call_queue m_queue;
     struct running_call
--- a/packages/policy/include/turmericspar/policy/call_dispatcher.h
+++ b/packages/policy/include/turmericspar/policy/call_dispatcher.h
@@ -35,6 +35,7 @@
     int retriesUsed = 0; ///< for finish
     bool finalFailure = false; ///< for finish: callers must not retry
     bool useAnswer = false; ///< for finish: pass the answer of the last attempt to the caller
+    millis retryIn{0}; ///< for finish: the time after which the service may have room for the call; 0 if that is not known
 };
 
 /// Result of one attempt at a serving node.
@@ -48,6 +49,7 @@
     double level = 0; ///< shed level for the call's service and class
     int limit = 0; ///< concurrency limit of the upstream
     int pending = 0; ///< calls running or queued there
+    millis roomIn{0}; ///< if the rate limit of the upstream left no room: the time after which there may be; else 0
 };
 
 /// Dispatches the calls that this node receives from callers. It does no I/O and reads no clock.
@@ -87,6 +89,7 @@
         bool mayHaveRun = false; ///< whether an earlier attempt may have run
         node_id node;
         millis sentAt;
+        millis retryIn{0}; ///< see dispatch_action
         std::vector<node_id> tried;
     };
 
--- a/packages/policy/include/turmericspar/policy/load_balancer.h
+++ b/packages/policy/include/turmericspar/policy/load_balancer.h
@@ -5,8 +5,10 @@
 #include "turmericspar/policy/call.h"
 #include "turmericspar/policy/tunables.h"
 
+#include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -26,6 +28,25 @@
     int limit = 0; ///< the upstream's concurrency limit; 0 if not reported
     int pending = 0; ///< calls running or queued there
     bool unreachable = false; ///< whether it could not be reached or the link was lost before the answer
+    bool rateLimited = false; ///< whether the rate limit of the upstream left no room for it
+};
+
+/// The standing of a call at an upstream that lacks room for some calls.
+struct call_standing
+{
+    double importance = importanceBound;
+    bool admitted = false; ///< whether it belongs to a request that was already admitted
+
+    /// @return the standing of a call with a context.
+    static call_standing of(const call_context &context) { return {context.priority.importance(), context.depth > 0}; }
+};
+
+/// What an upstream has stated about itself in its answers, as known to a node that received them.
+struct upstream_condition
+{
+    std::uint64_t run = 0; ///< identifies the run of the upstream process; 0 if nothing is known
+    std::optional<double> rateLimit; ///< requests a second that it takes from all nodes together; nothing if it stated no limit
+    bool leaving = false; ///< whether it is about to exit
 };
 
 /// The known upstreams of all services, with statistics for each.
@@ -41,8 +62,11 @@
 
     /// Chooses an upstream of a service.
     /// @param avoid nodes that were already tried for this call; they are never chosen
+    /// @param standing of the call; upstreams without room for it are not chosen
     /// @return the node, or an empty string if there is none
-    node_id choose(const std::string &service, const std::vector<node_id> &avoid, millis now);
+    node_id choose(const std::string &service, const std::vector<node_id> &avoid, millis now, const call_standing &standing = {});
+    /// @return the time until one of a service's upstreams may have room for a call; 0 if none is known to lack room.
+    millis timeToRoom(const std::string &service, const call_standing &standing, millis now) const;
     /// Chooses round-robin; used in pass-through mode.
     node_id chooseRoundRobin(const std::string &service, const std::vector<node_id> &avoid);
 
@@ -54,6 +78,13 @@
     /// @param answered whether the sample is valid
     void done(const node_id &node, bool answered, const response_sample &sample, millis now);
 
+    /// Records that the rate limit of an upstream leaves no room for a call, nor for less important ones, before a given time.
+    void recordNoRoom(const node_id &node, const call_standing &standing, millis until, millis now);
+    /// Records what an upstream has stated, to tell its node if that starts anew.
+    void recordCondition(const node_id &node, const upstream_condition &condition);
+    /// @return what the upstream of a node has stated.
+    upstream_condition condition(const node_id &node) const;
+
     /// @return whether any node has ever announced the service.
     bool knows(const std::string &service) const { return m_services.contains(service); }
     std::size_t readyCount(const std::string &service) const;
@@ -62,6 +93,12 @@
 
 private:
     struct service_upstreams;
+    /// Calls up to this importance find no room.
+    struct room_shortage
+    {
+        double importance = 0;
+        millis until{-1e12};
+    };
     struct upstream_state
     {
         node_id node;
@@ -76,6 +113,8 @@
         millis refusedAt{-1e12};
         millis unreachableAt{-1e12};
         bool unresponsive = false;
+        std::array<room_shortage, 2> shortages; ///< for new requests, and for calls of requests that were already admitted
+        upstream_condition condition;
     };
     struct service_upstreams
     {
@@ -88,7 +127,9 @@
     bool isUnreachable(const upstream_state &upstream, millis now) const;
     double cost(const upstream_state &upstream, millis now) const;
     upstream_state *cheaper(upstream_state *left, upstream_state *right, millis now) const;
-    upstream_state *chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, millis now);
+    static bool hasRoom(const upstream_state &upstream, const call_standing &standing, millis now);
+    upstream_state *
+    chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, const call_standing &standing, millis now);
     void removeFromGroup(upstream_state *upstream);
 
     const tunables &m_tuning;
--- a/packages/policy/include/turmericspar/policy/token_bucket.h
+++ b/packages/policy/include/turmericspar/policy/token_bucket.h
@@ -19,10 +19,12 @@
     /// Takes a token if one is available.
     /// @return whether it was
     bool take(millis now);
-
-private:
+    /// Adds the tokens that accrued since the last call, at the present rate. To be called before a change of the rate.
     void refill(millis now);
+    /// @return the time until a token is available; 0 if one is.
+    millis timeToToken(millis now);
 
+private:
     double m_perSecond = 0;
     double m_burst = 0;
     double m_tokens = 0;
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -35,6 +35,13 @@
     double admittedQueueFactor = 2.0; ///< multiple of the queue capacity for calls of requests that were already admitted
     double serviceTimeMargin = 0.8; ///< a call is started only if at least this share of the average service time is left before its deadline
 
+    // Pace of the calls to an upstream that states a rate limit
+    millis paceBurst{500}; ///< requests of this time span may be started at once
+    double paceBurstMin = 2; ///< minimum number of requests that may be started at once
+    double paceMin = 0.5; ///< requests a second sent to an upstream that states a lower limit, so that its recovery is noticed
+    millis paceWaitMax{300}; ///< a call that would have to wait longer for its turn is refused
+    int startsBeforeAnswer = 4; ///< calls that run at once before the first answer of an upstream shows whether it states a limit
+
     // Concurrency window of a class whose requests make calls to other services (dependencies)
     double windowDecrease = 0.75; ///< factor applied when too many requests fail because of their calls
     double windowIncrease = 0.1; ///< increase as a share of the window, at least 1; spread over as many answers as the window is wide
@@ -77,6 +84,7 @@
     millis refusalPenalty{100}; ///< time for which a refusal raises the cost of an upstream
     millis unreachablePenalty{1000}; ///< time for which an unreachable node is chosen only if there is no other
     int reroutes = 2; ///< number of times a call that was not run may be sent to another upstream
+    int reroutesForRoom = 5; ///< the same for a call for which the rate limits of the upstreams left no room
 
     // Retries
     int retriesPerRequest = 3; ///< for a request and all calls made on its behalf
--- a/packages/policy/src/admission_controller.cpp
+++ b/packages/policy/src/admission_controller.cpp
@@ -16,7 +16,10 @@
 
 } // namespace
 
-admission_controller::admission_controller(const tunables &tuning, policy_mode mode) : m_tuning(tuning), m_mode(mode), m_limiter(tuning), m_level(tuning) { }
+admission_controller::admission_controller(const tunables &tuning, policy_mode mode)
+    : m_tuning(tuning), m_mode(mode), m_limiter(tuning), m_pacer(tuning), m_level(tuning)
+{
+}
 
 void admission_controller::announce(int slots, int connections, bool cold)
 {
@@ -76,7 +79,7 @@
         return;
     }
     if (m_mode == policy_mode::none) {
-        enqueue(waiting, actions);
+        enqueue(waiting, now, actions);
         startWaiting(now, actions);
         return;
     }
@@ -107,45 +110,109 @@
         refuse(call.id, refusal_reason::deadline, actions);
         return;
     }
-    enqueue(waiting, actions);
+    if (startBy < now + m_pacer.timeToNextStart(now)) {
+        refuseForRoom(call.id, now, actions);
+        return;
+    }
+    enqueue(waiting, now, actions);
     startWaiting(now, actions);
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
 }
 
-std::size_t admission_controller::queueCapacity(bool admitted) const
+void admission_controller::rateStated(std::optional<double> perSecond, call_id id, millis now)
+{
+    const auto found = m_running.find(id);
+    if (found != m_running.end()) {
+        m_pacer.stated(perSecond, found->second.startedAt, now);
+    }
+}
+
+/// @return how many calls may be queued: those that the upstream's concurrency limit lets start soon, or its rate limit if that is lower.
+std::size_t admission_controller::queueCapacity(bool admitted, millis now)
 {
     if (m_mode == policy_mode::none) {
         return passThroughQueueCapacity;
     }
     const double share = m_tuning.queueShare * (admitted ? m_tuning.admittedQueueFactor : 1.0);
-    return static_cast<std::size_t>(std::max<double>(m_tuning.queueMin, limit() * share));
+    const auto capacity = static_cast<std::size_t>(std::max<double>(m_tuning.queueMin, limit() * share));
+    const auto rate = m_pacer.limit();
+    if (!rate) {
+        return capacity;
+    }
+    const millis waitLeft = m_tuning.paceWaitMax - m_pacer.timeToNextStart(now);
+    const auto paced = waitLeft.count < 0 ? 0 : 1 + static_cast<std::size_t>(*rate * (waitLeft / oneSecond));
+    return std::min(capacity, paced);
+}
+
+/// @return the time after which the upstream's rate limit lets another call start, behind those that are queued.
+millis admission_controller::timeToRoom(millis now)
+{
+    const auto rate = m_pacer.limit();
+    if (!rate) {
+        return {0};
+    }
+    return m_pacer.timeToNextStart(now) + oneSecond * (static_cast<double>(m_queue.size()) / std::max(*rate, m_tuning.paceMin));
+}
+
+/// Refuses a call for lack of room, and states when there may be room if the rate limit is the cause.
+void admission_controller::refuseForRoom(call_id id, millis now, std::vector<admission_action> &actions)
+{
+    actions.push_back({admission_action::action_type::refuse, id, refusal_reason::overload, timeToRoom(now)});
+}
+
+/// Refuses a queued call whose latest start time has passed.
+void admission_controller::refuseExpired(call_id id, millis now, std::vector<admission_action> &actions)
+{
+    if (m_pacer.limit()) {
+        refuseForRoom(id, now, actions);
+    } else {
+        refuse(id, refusal_reason::deadline, actions);
+    }
 }
 
 /// Queues a call; if the queue is full, refuses the least important call.
-void admission_controller::enqueue(const waiting_call &call, std::vector<admission_action> &actions)
+void admission_controller::enqueue(waiting_call call, millis now, std::vector<admission_action> &actions)
 {
-    if (m_queue.size() < queueCapacity(call.admitted)) {
+    if (m_pacer.limit()) {
+        call.startBy = std::min(call.startBy, now + m_tuning.paceWaitMax);
+    }
+    if (m_queue.size() < queueCapacity(call.admitted, now)) {
         m_queue.push(call);
         return;
     }
-    if (m_mode == policy_mode::none || !call_queue::before(call, m_queue.lowest())) {
-        refuse(call.id, refusal_reason::overload, actions);
+    if (m_mode == policy_mode::none || m_queue.empty() || !call_queue::before(call, m_queue.lowest())) {
+        refuseForRoom(call.id, now, actions);
         return;
     }
-    refuse(m_queue.popLowest().id, refusal_reason::overload, actions);
+    refuseForRoom(m_queue.popLowest().id, now, actions);
     m_queue.push(call);
 }
 
+/// @return whether the upstream can take another call now.
+bool admission_controller::mayStart(millis now)
+{
+    const int running = static_cast<int>(m_running.size());
+    if (m_mode == policy_mode::none) {
+        return running < limit();
+    }
+    const int startLimit = m_pacer.hasAnswer() ? limit() : std::min(limit(), m_tuning.startsBeforeAnswer);
+    return running < startLimit && m_pacer.timeToNextStart(now).count <= 0;
+}
+
 void admission_controller::startWaiting(millis now, std::vector<admission_action> &actions)
 {
-    while (!m_draining && !m_queue.empty() && static_cast<int>(m_running.size()) < limit()) {
+    while (!m_draining && !m_queue.empty() && mayStart(now)) {
         const waiting_call next = m_queue.popHighest();
         if (m_mode == policy_mode::full && next.startBy < now) {
-            refuse(next.id, refusal_reason::deadline, actions);
+            refuseExpired(next.id, now, actions);
         } else {
             start(next, now, actions);
         }
     }
+    // A limit that is stated anew or lowered leaves calls in the queue that it gives no turn in time.
+    while (m_pacer.limit() && m_queue.size() > queueCapacity(true, now)) {
+        refuseForRoom(m_queue.popLowest().id, now, actions);
+    }
 }
 
 void admission_controller::start(const waiting_call &call, millis now, std::vector<admission_action> &actions)
@@ -155,12 +222,13 @@
         classWindow(call.klass).started(now);
     }
     m_level.started(now);
-    actions.push_back({admission_action::action_type::start, call.id, refusal_reason::none});
+    m_pacer.started(now);
+    actions.push_back({admission_action::action_type::start, call.id, refusal_reason::none, {}});
 }
 
 void admission_controller::refuse(call_id id, refusal_reason reason, std::vector<admission_action> &actions)
 {
-    actions.push_back({admission_action::action_type::refuse, id, reason});
+    actions.push_back({admission_action::action_type::refuse, id, reason, {}});
 }
 
 void admission_controller::ended(call_id id, const run_report &report, millis now, std::vector<admission_action> &actions)
@@ -178,6 +246,7 @@
     }
     m_running.erase(found);
     if (report.answered || report.shed) {
+        m_pacer.answered();
         m_limiter.answered(report.selfTime, report.shed, running, startedAt, now);
     }
     if (report.answered && !report.shed) {
@@ -198,7 +267,7 @@
     if (m_queue.remove(id)) {
         refuse(id, reason, actions);
     } else if (m_running.contains(id)) {
-        actions.push_back({admission_action::action_type::cancel, id, reason});
+        actions.push_back({admission_action::action_type::cancel, id, reason, {}});
     }
     startWaiting(now, actions);
 }
@@ -210,7 +279,7 @@
         if (!expired) {
             break;
         }
-        refuse(expired->id, refusal_reason::deadline, actions);
+        refuseExpired(expired->id, now, actions);
     }
     startWaiting(now, actions);
     m_level.observe(m_queue.size(), static_cast<int>(m_running.size()), limit(), now);
--- a/packages/policy/src/call_dispatcher.cpp
+++ b/packages/policy/src/call_dispatcher.cpp
@@ -45,11 +45,14 @@
 void call_dispatcher::forward(call_id id, pending_call &call, millis now, std::vector<dispatch_action> &actions)
 {
     const bool roundRobin = m_mode == policy_mode::none;
-    const node_id node = roundRobin ? m_routes.chooseRoundRobin(call.service, call.tried) : m_routes.choose(call.service, call.tried, now);
+    const auto standing = call_standing::of(call.context);
+    const node_id node = roundRobin ? m_routes.chooseRoundRobin(call.service, call.tried) : m_routes.choose(call.service, call.tried, now, standing);
     if (node.empty()) {
-        // Unknown services were rejected earlier: the service exists but has no available upstream.
+        // Unknown services were rejected earlier: the service exists but has no available upstream, or none with room for this call.
         const auto outcome = call.mayHaveRun ? call_outcome::unknown : call_outcome::not_run;
-        finish(id, outcome, refusal_reason::no_upstream, call.attempt > 0, call.attempt > 0, actions);
+        call.retryIn = m_routes.timeToRoom(call.service, standing, now);
+        const auto reason = call.retryIn.count > 0 ? refusal_reason::overload : refusal_reason::no_upstream;
+        finish(id, outcome, reason, call.attempt > 0, call.attempt > 0, actions);
         return;
     }
     ++call.attempt;
@@ -81,6 +84,7 @@
     action.useAnswer = useAnswer;
     action.finalFailure = finalFailure;
     action.retriesUsed = found->second.retriesUsed;
+    action.retryIn = found->second.retryIn;
     m_deadlines.erase({found->second.context.deadline, id});
     m_calls.erase(found);
     actions.push_back(std::move(action));
@@ -89,7 +93,8 @@
 /// @return whether a call that certainly did not run may be sent to another upstream. This does not use a retry of the request.
 bool call_dispatcher::mayReroute(const pending_call &call, const attempt_result &result, millis now)
 {
-    if (result.outcome != call_outcome::not_run || call.reroutes >= m_tuning.reroutes) {
+    const bool rateLimited = result.roomIn.count > 0;
+    if (result.outcome != call_outcome::not_run || call.reroutes >= (rateLimited ? m_tuning.reroutesForRoom : m_tuning.reroutes)) {
         return false;
     }
     switch (result.reason) {
@@ -103,7 +108,8 @@
     case refusal_reason::overload:
     case refusal_reason::shed_by_upstream:
         // An admitted request has already used resources, so it is tried elsewhere. A new request is not sent to an overloaded service again.
-        if (m_mode == policy_mode::none) {
+        // The rate limit of one upstream says nothing about the others of the service.
+        if (m_mode == policy_mode::none || rateLimited) {
             return true;
         }
         // A refusal by the upstream itself means that the call reached it: sending it again counts against the retry budget of the service.
@@ -150,7 +156,12 @@
     sample.unreachable = result.reason == refusal_reason::unreachable;
     sample.limit = result.limit;
     sample.pending = result.pending;
+    sample.rateLimited = result.roomIn.count > 0;
     m_routes.done(call.node, true, sample, now);
+    if (sample.rateLimited) {
+        m_routes.recordNoRoom(call.node, call_standing::of(call.context), now + result.roomIn, now);
+    }
+    call.retryIn = result.roomIn;
     if (result.outcome != call_outcome::unknown) {
         m_levels.report(levelKey(call.service, call.context.klass), result.level, now);
     }
--- a/packages/policy/src/load_balancer.cpp
+++ b/packages/policy/src/load_balancer.cpp
@@ -91,7 +91,8 @@
 
 /// Chooses the best of a few randomly sampled upstreams, so that the cost of a choice does not depend on the size of the service.
 /// Unreachable upstreams are chosen only if there is no other.
-load_balancer::upstream_state *load_balancer::chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, millis now)
+load_balancer::upstream_state *
+load_balancer::chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, const call_standing &standing, millis now)
 {
     upstream_state *best = nullptr;
     upstream_state *unreachable = nullptr;
@@ -107,7 +108,7 @@
         const std::size_t ahead = step <= 1 ? step * stride : (step <= stride ? step - 1 : step);
         const std::size_t index = (start + ahead) % size;
         auto *candidate = from[index];
-        if (contains(avoid, candidate->node)) {
+        if (contains(avoid, candidate->node) || !hasRoom(*candidate, standing, now)) {
             continue;
         }
         if (isUnreachable(*candidate, now)) {
@@ -120,14 +121,61 @@
     return best ? best : unreachable;
 }
 
-node_id load_balancer::choose(const std::string &service, const std::vector<node_id> &avoid, millis now)
+bool load_balancer::hasRoom(const upstream_state &upstream, const call_standing &standing, millis now)
+{
+    const auto &shortage = upstream.shortages[standing.admitted ? 1 : 0];
+    return now >= shortage.until || standing.importance > shortage.importance;
+}
+
+millis load_balancer::timeToRoom(const std::string &service, const call_standing &standing, millis now) const
+{
+    const auto found = m_services.find(service);
+    std::optional<millis> shortest;
+    if (found != m_services.end()) {
+        for (const auto *upstream : found->second.all) {
+            if (!hasRoom(*upstream, standing, now)) {
+                const millis wait = upstream->shortages[standing.admitted ? 1 : 0].until - now;
+                shortest = shortest ? std::min(*shortest, wait) : wait;
+            }
+        }
+    }
+    return shortest.value_or(millis{0});
+}
+
+void load_balancer::recordNoRoom(const node_id &node, const call_standing &standing, millis until, millis now)
+{
+    const auto found = m_upstreams.find(node);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    auto &shortage = found->second->shortages[standing.admitted ? 1 : 0];
+    const bool lapsed = now >= shortage.until;
+    shortage.importance = lapsed ? standing.importance : std::max(shortage.importance, standing.importance);
+    shortage.until = lapsed ? until : std::max(shortage.until, until);
+}
+
+void load_balancer::recordCondition(const node_id &node, const upstream_condition &condition)
+{
+    const auto found = m_upstreams.find(node);
+    if (found != m_upstreams.end()) {
+        found->second->condition = condition;
+    }
+}
+
+upstream_condition load_balancer::condition(const node_id &node) const
+{
+    const auto found = m_upstreams.find(node);
+    return found == m_upstreams.end() ? upstream_condition() : found->second->condition;
+}
+
+node_id load_balancer::choose(const std::string &service, const std::vector<node_id> &avoid, millis now, const call_standing &standing)
 {
     const auto found = m_services.find(service);
     if (found == m_services.end()) {
         return {};
     }
-    auto *own = chooseFrom(found->second.own, m_tuning.candidatesOwn, avoid, now);
-    auto *any = chooseFrom(found->second.all, m_tuning.candidatesAll, avoid, now);
+    auto *own = chooseFrom(found->second.own, m_tuning.candidatesOwn, avoid, standing, now);
+    auto *any = chooseFrom(found->second.all, m_tuning.candidatesAll, avoid, standing, now);
     const auto *best = cheaper(own, any, now);
     return best ? best->node : node_id();
 }
@@ -182,6 +230,9 @@
         upstream.limit = sample.limit;
         upstream.reportedPending = sample.pending;
     }
+    if (sample.rateLimited) {
+        return;
+    }
     if (sample.refused) {
         upstream.refusedAt = now;
         return;
--- a/packages/policy/src/token_bucket.cpp
+++ b/packages/policy/src/token_bucket.cpp
@@ -29,6 +29,12 @@
     return true;
 }
 
+millis token_bucket::timeToToken(millis now)
+{
+    refill(now);
+    return m_tokens >= 1 ? millis{0} : oneSecond * ((1 - m_tokens) / m_perSecond);
+}
+
 void token_bucket::refill(millis now)
 {
     if (m_refilledAt.count >= 0) {
--- a/packages/policy/tests/admission_controller_test.cpp
+++ b/packages/policy/tests/admission_controller_test.cpp
@@ -31,6 +31,7 @@
         millis arrival = now + millis{gap(m_random)};
         while (now < end) {
             const millis next = m_ends.empty() ? arrival : std::min(arrival, m_ends.top().first);
+            gapMax = std::max(gapMax, next - now);
             now = next;
             std::vector<admission_action> actions;
             if (next == arrival) {
@@ -41,6 +42,7 @@
                 call.context.priority.tieBreaker = static_cast<std::uint32_t>(m_random());
                 call.context.deadline = now + millis{1000};
                 m_ranks[call.id] = call.context.priority.rank;
+                m_offered[call.id] = now;
                 ++offered[call.context.priority.rank];
                 controller.offer(call, 0, now, actions);
             } else {
@@ -52,13 +54,19 @@
                 run_report report;
                 report.selfTime = now - m_started[id];
                 report.answered = true;
+                controller.rateStated(statedLimit, id, now);
                 controller.ended(id, report, now, actions);
             }
+            controller.tick(now, actions);
             for (const auto &action : actions) {
                 if (action.type == admission_action::action_type::start) {
                     m_started[action.id] = now;
+                    starts.push_back(now);
                     m_queued.push(action.id);
                     runningMax = std::max(runningMax, static_cast<int>(controller.running()));
+                } else if (action.type == admission_action::action_type::refuse) {
+                    waitMax = std::max(waitMax, now - m_offered[action.id]);
+                    roomIn.push_back(action.roomIn);
                 }
             }
             fillSlots();
@@ -70,6 +78,11 @@
     std::map<int, int> offered;
     std::map<int, int> done;
     int runningMax = 0;
+    std::optional<double> statedLimit; ///< requests a second that the upstream states in its answers
+    std::vector<millis> starts;
+    std::vector<millis> roomIn; ///< of the refused calls
+    millis gapMax{0}; ///< longest time between two steps of the simulation
+    millis waitMax{0}; ///< longest wait of a call that was then refused
 
 private:
     void fillSlots()
@@ -90,6 +103,7 @@
     std::queue<call_id> m_queued;
     std::map<call_id, millis> m_started;
     std::map<call_id, int> m_ranks;
+    std::map<call_id, millis> m_offered;
     using end_event = std::pair<millis, call_id>;
     std::priority_queue<end_event, std::vector<end_event>, std::greater<>> m_ends;
 };
@@ -105,6 +119,78 @@
     EXPECT_LT(upstream.controller.limit(), 60);
 }
 
+/// Load far above the limit that an upstream states, while it has free slots.
+class limited_upstream : public testing::Test
+{
+protected:
+    limited_upstream() { upstream.statedLimit = limit; }
+
+    static constexpr double limit = 10;
+    const tunables tuning;
+    simulated_upstream upstream{tuning, 30, 30, {100}};
+};
+
+// Guards against an upstream in need that gets more than it states that it takes.
+TEST_F(limited_upstream, gets_no_more_than_it_states)
+{
+    upstream.run(200, {1000}, [](int) { return 0; });
+    upstream.starts.clear();
+    upstream.run(200, {20'000}, [](int) { return 0; });
+    std::size_t most = 0;
+    for (std::size_t first = 0, next = 0; first < upstream.starts.size(); ++first) {
+        while (next < upstream.starts.size() && upstream.starts[next] - upstream.starts[first] < millis{4000}) {
+            ++next;
+        }
+        most = std::max(most, next - first);
+    }
+    EXPECT_LE(static_cast<double>(most), 1.5 * limit * 4 + 5);
+    EXPECT_GE(static_cast<double>(upstream.starts.size()), 0.95 * limit * 20);
+}
+
+// Guards against routine work that takes what a limited upstream has left for urgent work.
+TEST_F(limited_upstream, serves_the_most_important_calls)
+{
+    upstream.run(200, {1000}, [](int) { return 2; });
+    upstream.offered.clear();
+    upstream.done.clear();
+    upstream.run(200, {20'000}, [](int n) { return n % 40 == 0 ? 0 : 2; });
+    EXPECT_GE(upstream.done[0], 0.95 * upstream.offered[0]);
+    EXPECT_GT(upstream.done[2], 0);
+}
+
+// Guards against calls that are held although the limit leaves no room for them, and refused without a time to come back.
+TEST_F(limited_upstream, refuses_at_once_and_states_when_there_may_be_room)
+{
+    upstream.run(200, {1000}, [](int) { return 0; });
+    upstream.roomIn.clear();
+    upstream.waitMax = {0};
+    upstream.run(200, {10'000}, [](int) { return 0; });
+    EXPECT_LE(upstream.waitMax, tuning.paceWaitMax + upstream.gapMax);
+    ASSERT_FALSE(upstream.roomIn.empty());
+    for (const auto &wait : upstream.roomIn) {
+        EXPECT_GT(wait.count, 0);
+        EXPECT_LE(wait.count, 2 * tuning.paceWaitMax.count);
+    }
+}
+
+TEST_F(limited_upstream, is_used_in_full_again_when_its_answers_state_no_limit)
+{
+    upstream.run(200, {3000}, [](int) { return 0; });
+    upstream.statedLimit.reset();
+    upstream.run(200, {2000}, [](int) { return 0; });
+    upstream.starts.clear();
+    upstream.run(200, {5000}, [](int) { return 0; });
+    EXPECT_GE(upstream.starts.size(), 900U);
+}
+
+// Guards against a burst from a node that has started while its upstream states a limit.
+TEST_F(limited_upstream, gets_few_calls_before_its_first_answer)
+{
+    upstream.run(1000, {40}, [](int) { return 0; });
+    EXPECT_LE(upstream.starts.size(), static_cast<std::size_t>(tuning.startsBeforeAnswer));
+    EXPECT_GE(upstream.starts.size(), 1U);
+}
+
 TEST(admission_controller, serves_more_important_calls_first)
 {
     const tunables tuning;
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -139,6 +139,69 @@
     EXPECT_EQ(actions.front().outcome, call_outcome::not_run);
 }
 
+/// The rate limit of an upstream leaves no room for a call.
+attempt_result refusedForRoom(millis roomIn)
+{
+    attempt_result refused;
+    refused.outcome = call_outcome::not_run;
+    refused.reason = refusal_reason::overload;
+    refused.roomIn = roomIn;
+    return refused;
+}
+
+// Guards against refusing what one limited upstream cannot take while others have room.
+TEST_F(call_dispatcher_test, a_call_for_which_one_upstream_has_no_room_goes_to_another)
+{
+    const auto first = submit().front().node;
+    const auto actions = reply(1, refusedForRoom({500}));
+    ASSERT_EQ(actions.front().type, dispatch_action::action_type::forward);
+    EXPECT_NE(actions.front().node, first);
+    for (call_id next = 10; next < 60; ++next) {
+        std::vector<dispatch_action> others;
+        dispatcher.submit(next, "s", context, {20}, others);
+        ASSERT_EQ(others.front().type, dispatch_action::action_type::forward);
+        EXPECT_NE(others.front().node, first) << "it is not asked again before it may have room";
+    }
+}
+
+// Guards against refusals that take a round trip to each upstream, or that do not say when to come back.
+TEST_F(call_dispatcher_test, a_call_for_which_no_upstream_has_room_is_refused_at_once_with_the_time_to_room)
+{
+    submit();
+    reply(1, refusedForRoom({700}));
+    reply(2, refusedForRoom({300}));
+    const auto actions = reply(3, refusedForRoom({500}));
+    ASSERT_EQ(actions.front().type, dispatch_action::action_type::finish);
+    EXPECT_EQ(actions.front().outcome, call_outcome::not_run);
+    EXPECT_EQ(actions.front().reason, refusal_reason::overload);
+    EXPECT_EQ(actions.front().retryIn.count, 300);
+    std::vector<dispatch_action> next;
+    dispatcher.submit(2, "s", context, {110}, next);
+    ASSERT_EQ(next.front().type, dispatch_action::action_type::finish);
+    EXPECT_EQ(next.front().retryIn.count, 200);
+    next.clear();
+    dispatcher.submit(3, "s", context, {320}, next);
+    EXPECT_EQ(next.front().type, dispatch_action::action_type::forward) << "one of them may have room again";
+}
+
+TEST_F(call_dispatcher_test, more_important_calls_are_still_sent_where_less_important_ones_find_no_room)
+{
+    context.priority.rank = 2;
+    submit();
+    for (int attempt = 1; attempt <= 3; ++attempt) {
+        reply(attempt, refusedForRoom({500}));
+    }
+    context.priority.rank = 0;
+    std::vector<dispatch_action> actions;
+    dispatcher.submit(2, "s", context, {20}, actions);
+    EXPECT_EQ(actions.front().type, dispatch_action::action_type::forward);
+    actions.clear();
+    context.priority.rank = 2;
+    context.depth = 1;
+    dispatcher.submit(3, "s", context, {20}, actions);
+    EXPECT_EQ(actions.front().type, dispatch_action::action_type::forward) << "calls of admitted requests go before new requests of their rank";
+}
+
 TEST_F(call_dispatcher_test, reports_not_run_only_if_no_attempt_may_have_run)
 {
     submit();
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -13,6 +13,7 @@
 
 constexpr int slotsMax = 100'000;
 constexpr std::size_t serviceNameMax = 200;
+constexpr std::size_t instanceNameMax = 200;
 constexpr std::size_t announcementBytesMax = 16 * 1024;
 
 http_server_options announcementOptions()
@@ -58,10 +59,24 @@
     if (!isCountInRange(parsed, "slots") || !isCountInRange(parsed, "connections")) {
         return invalidAnnouncement("slots, connections: expected whole numbers from 1 to 100000");
     }
+    const bool hasInstance = parsed.contains("instance");
+    if (hasInstance && (!parsed["instance"].is_string() || parsed["instance"].get_ref<const std::string &>().size() > instanceNameMax)) {
+        return invalidAnnouncement("instance: expected a text of at most 200 characters");
+    }
+    const bool hasStart = parsed.contains("started_at_ms");
+    if (hasStart && !parsed["started_at_ms"].is_number_unsigned()) {
+        return invalidAnnouncement("started_at_ms: expected a whole number");
+    }
     if (!isFlagOrAbsent(parsed, "cold") || !isFlagOrAbsent(parsed, "draining")) {
         return invalidAnnouncement("cold, draining: expected true or false");
     }
     announcement parsedAnnouncement;
+    if (hasInstance) {
+        parsedAnnouncement.instance = parsed["instance"].get<std::string>();
+    }
+    if (hasStart) {
+        parsedAnnouncement.startedAt = parsed["started_at_ms"].get<std::uint64_t>();
+    }
     parsedAnnouncement.service = service;
     parsedAnnouncement.address = *address;
     parsedAnnouncement.slots = parsed["slots"].get<int>();
--- a/packages/upstream/tests/announcement_test.cpp
+++ b/packages/upstream/tests/announcement_test.cpp
@@ -31,6 +31,8 @@
                              R"({"service":"s","address":"some-host:9000","slots":1,"connections":1})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":0,"connections":1})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":"many","connections":1})",
+                             R"({"service":"s","address":"127.0.0.1:9000","slots":1,"connections":1,"instance":7})",
+                             R"({"service":"s","address":"127.0.0.1:9000","slots":1,"connections":1,"started_at_ms":-7})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":1e99,"connections":1})"}) {
         const auto parsed = parseAnnouncement(text);
         ASSERT_FALSE(parsed) << text;
