A planned stop no longer waits for callers that keep their side of a connection open

Cause: after the last response a connection shuts down its sending side and waits one second for the peer, but the next lines of writeResponses set the same timer to the idle time (75 s). A caller that keeps its side open, as callers may until they reuse the connection, held the process for that time.

The idle time is no longer set once the sending side is shut down. The test fails before (one connection is left after 3 s) and passes now. Ruled out: limits, shed levels, membership and links to a former incarnation, since nodes that did start again were used in full.

--- a/packages/base/src/http_server.cpp
+++ b/packages/base/src/http_server.cpp
@@ -115,7 +115,7 @@
             // Requests behind the last response count as never read.
             abortPending();
         }
-        if (m_pending.empty()) {
+        if (m_pending.empty() && !m_shutDown) {
             m_timer->restart(m_server.m_options.idleTimeout);
         }
         if (wasFull && !m_closing) {
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -290,4 +290,31 @@
     EXPECT_EQ(aborted, 2);
 }
 
+// Guards against a server that keeps a connection for its idle time after the last response, because its peer leaves its own side open.
+TEST(http_server, does_not_wait_for_a_peer_that_keeps_its_side_open_after_the_last_response)
+{
+    event_loop loop;
+    http_server *serving = nullptr;
+    http_server server(loop, {}, [&](const http_exchange_ptr &exchange) {
+        serving->disableKeepAlive();
+        exchange->respond({200, {}, "last"});
+    });
+    serving = &server;
+    const auto address = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(address);
+    sockaddr_storage storage;
+    const auto length = address->toSockaddr(storage);
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(descriptor, reinterpret_cast<sockaddr *>(&storage), length), 0);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    ASSERT_EQ(send(descriptor, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+    std::size_t atFirst = 0;
+    const auto look = loop.after({500}, [&] { atFirst = server.connectionCount(); });
+    const auto end = loop.after({3000}, [&] { loop.quit(); });
+    loop.run();
+    EXPECT_EQ(atFirst, 1U);
+    EXPECT_EQ(server.connectionCount(), 0U);
+    close(descriptor);
+}
+
 } // namespace
