A new run of an upstream starts without the limit of the former one

The limit of a former run was kept until the first answer of the next one, which may be another upstream at the same address.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -93,6 +93,7 @@
     if (run != m_upstreamRun || (run == 0 && m_service.empty())) {
         m_upstreamRun = run;
         m_upstreamLeaving = false;
+        m_serving.upstreamRestarted();
     }
     m_service = received.service;
     m_serving.announce(received.slots, connectionsMax(), received.cold);
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -262,8 +262,12 @@
     if (!overdue && (!m_calls.idle() || m_callers.connectionCount() > 0)) {
         return;
     }
-    logEvent(
-        overdue ? log_level::error : log_level::info, "shutdown_done", {{"overdue", overdue ? "true" : "false"}, {"calls_unfinished", m_calls.idle() ? 0 : 1}});
+    logEvent(overdue ? log_level::error : log_level::info,
+             "shutdown_done",
+             {{"overdue", overdue ? "true" : "false"},
+              {"calls_cut", m_calls.idle() ? 0 : 1},
+              {"callers_connected", m_callers.connectionCount()},
+              {"span_ms", elapsed}});
     m_loop.quit();
 }
 
--- a/packages/policy/include/turmericspar/policy/admission_controller.h
+++ b/packages/policy/include/turmericspar/policy/admission_controller.h
@@ -68,6 +68,8 @@
     /// @param share this upstream's share of a limit: 1 / number of upstreams of the service
     void configure(const configuration &declared, double share);
 
+    /// Forgets what the upstream has stated, because another run of it has begun.
+    void upstreamRestarted() { m_pacer.reset(); }
     /// Applies what an answer of the upstream states about the rate of requests that it takes.
     /// @param perSecond requests a second; nothing if the answer states no limit
     /// @param id the answered call, which has not ended yet
--- a/packages/policy/include/turmericspar/policy/request_pacer.h
+++ b/packages/policy/include/turmericspar/policy/request_pacer.h
@@ -19,13 +19,15 @@
     /// @param perSecond requests a second that the upstream takes; nothing if the answer states no limit
     /// @param startedAt when the answered call was started
     void stated(std::optional<double> perSecond, millis startedAt, millis now);
-    /// Applies a limit that another node knows from an answer, unless this node has received an answer itself.
+    /// Applies a limit that another node knows from an answer, unless this node has received an answer itself. It holds until the first answer.
     void reported(double perSecond, millis now);
 
+    /// Forgets the limit and the answers, because another run of the upstream has begun.
+    void reset();
     /// Records that an answer was received, whatever it states.
     void answered() { m_hasAnswer = true; }
 
-    /// @return whether an answer of the upstream was received since this node started.
+    /// @return whether an answer of this run of the upstream was received.
     bool hasAnswer() const { return m_hasAnswer; }
     /// @return the limit in requests a second; nothing if there is none.
     std::optional<double> limit() const { return m_limit; }
@@ -35,13 +37,15 @@
     void started(millis now);
 
 private:
+    static constexpr millis longAgo{-1e12};
+
     void apply(double perSecond, millis now);
 
     const tunables &m_tuning;
     std::optional<double> m_limit;
     token_bucket m_bucket;
     bool m_hasAnswer = false;
-    millis m_statedAt{-1e12}; ///< when an answer last stated the present limit
+    millis m_statedAt = longAgo; ///< when an answer last stated the present limit
 };
 
 } // namespace turmericspar
--- a/packages/policy/src/request_pacer.cpp
+++ b/packages/policy/src/request_pacer.cpp
@@ -27,6 +27,13 @@
     }
 }
 
+void request_pacer::reset()
+{
+    m_limit.reset();
+    m_hasAnswer = false;
+    m_statedAt = longAgo;
+}
+
 void request_pacer::apply(double perSecond, millis now)
 {
     m_limit = perSecond;
--- a/packages/policy/tests/request_pacer_test.cpp
+++ b/packages/policy/tests/request_pacer_test.cpp
@@ -114,6 +114,18 @@
     EXPECT_FALSE(pacer.limit()) << "what this node has read itself goes first";
 }
 
+TEST(request_pacer, a_new_run_of_the_upstream_has_no_limit_until_it_states_one)
+{
+    const tunables tuning;
+    request_pacer pacer(tuning);
+    pacer.stated(2.0, {100}, {200});
+    pacer.reset();
+    EXPECT_FALSE(pacer.limit());
+    EXPECT_FALSE(pacer.hasAnswer());
+    pacer.reported(3.0, {300});
+    EXPECT_EQ(pacer.limit(), 3.0);
+}
+
 // Guards against a limit that changes, lapses and returns letting through a new burst each time.
 RC_GTEST_PROP(request_pacer, starts_keep_to_the_sum_of_the_limits_in_force, ())
 {
