Calls leave the own failure domain before its upstreams are overfilled

When two of three upstreams stated a limit, the third took their work and its calls went to the agenda, manuales and repuestos upstreams of its own domain, where they ran out of time (reason=deadline) while those of other domains had room: an upstream elsewhere had to be 2.5 times better, so the own one was filled to one and a half times its limit first.

--- a/packages/policy/include/turmericspar/policy/load_balancer.h
+++ b/packages/policy/include/turmericspar/policy/load_balancer.h
@@ -124,12 +124,22 @@
         millis latency{0}; ///< average over all its upstreams
     };
 
+    /// What the choice of an upstream for one call depends on.
+    struct choice_criteria
+    {
+        const std::vector<node_id> &avoid;
+        const call_standing &standing;
+        double domainFactor; ///< factor on the cost of an upstream in another failure domain
+        millis now;
+    };
+
     bool isUnreachable(const upstream_state &upstream, millis now) const;
-    double cost(const upstream_state &upstream, millis now) const;
-    upstream_state *cheaper(upstream_state *left, upstream_state *right, millis now) const;
+    static double load(const upstream_state &upstream);
+    double domainFactor(const upstream_state *own) const;
+    double cost(const upstream_state &upstream, const choice_criteria &criteria) const;
+    upstream_state *cheaper(upstream_state *left, upstream_state *right, const choice_criteria &criteria) const;
     static bool hasRoom(const upstream_state &upstream, const call_standing &standing, millis now);
-    upstream_state *
-    chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, const call_standing &standing, millis now);
+    upstream_state *chooseFrom(const std::vector<upstream_state *> &from, int count, const choice_criteria &criteria);
     void removeFromGroup(upstream_state *upstream);
 
     const tunables &m_tuning;
--- a/packages/policy/include/turmericspar/policy/tunables.h
+++ b/packages/policy/include/turmericspar/policy/tunables.h
@@ -77,6 +77,8 @@
     int candidatesOwn = 2; ///< upstreams of the own failure domain that are compared for a call
     int candidatesAll = 2; ///< upstreams of any failure domain that are compared for a call
     millis crossDomainRoundTrip{2}; ///< round-trip time to another failure domain
+    double crossDomainFadeStart = 0.7; ///< load of the own failure domain, as a share of its limit, from which the next factor falls
+    double crossDomainFadeEnd = 1.1; ///< load at which it is 1
     double crossDomainFactor = 1.2; ///< factor by which an upstream in another failure domain must be better, in addition to the round trip
     double latencyBlend = 0.1; ///< weight of a new latency in the average
     double successBlend = 0.1; ///< weight of a new outcome in the success rate
--- a/packages/policy/src/load_balancer.cpp
+++ b/packages/policy/src/load_balancer.cpp
@@ -66,33 +66,49 @@
     return upstream.unresponsive || now - upstream.unreachableAt < m_tuning.unreachablePenalty;
 }
 
-/// @return the expected time of a call at an upstream. Failures increase it, so that an upstream that fails fast does not attract load.
-double load_balancer::cost(const upstream_state &upstream, millis now) const
+/// @return the calls at an upstream, including one more, as a share of its limit.
+double load_balancer::load(const upstream_state &upstream)
 {
     const double pending = std::max(upstream.reportedPending, upstream.outstanding) + 1;
     // While the limit of an upstream is unknown, only the calls sent from here count: it appears idle if it was never called.
-    const double load = upstream.limit > 0 ? pending / upstream.limit : upstream.outstanding;
+    return upstream.limit > 0 ? pending / upstream.limit : upstream.outstanding;
+}
+
+/// @return the factor on the cost of upstreams in other failure domains: it falls to 1 as the upstreams of the own domain fill up.
+/// @param own the best candidate of the own domain; nullptr if there is none
+double load_balancer::domainFactor(const upstream_state *own) const
+{
+    if (!own || own->limit == 0) {
+        return m_tuning.crossDomainFactor;
+    }
+    const double fadeSpan = m_tuning.crossDomainFadeEnd - m_tuning.crossDomainFadeStart;
+    const double share = std::clamp((m_tuning.crossDomainFadeEnd - load(*own)) / fadeSpan, 0.0, 1.0);
+    return 1 + (m_tuning.crossDomainFactor - 1) * share;
+}
+
+/// @return the expected time of a call at an upstream. Failures increase it, so that an upstream that fails fast does not attract load.
+double load_balancer::cost(const upstream_state &upstream, const choice_criteria &criteria) const
+{
     const bool isOwn = upstream.domain == m_ownDomain;
     const double roundTrip = isOwn ? 0 : m_tuning.crossDomainRoundTrip.count;
-    const double domainFactor = isOwn ? 1 : m_tuning.crossDomainFactor;
+    const double domainFactor = isOwn ? 1 : criteria.domainFactor;
     const millis average = upstream.latency.count > 0 ? upstream.latency : upstream.group->latency;
-    const double latency = std::max(average.count, 1.0) * (1 + load) / std::max(upstream.successRate, m_tuning.successFloor);
-    const bool refusedRecently = now - upstream.refusedAt < m_tuning.refusalPenalty;
-    return latency * domainFactor * (refusedRecently ? 2 : 1) * (isUnreachable(upstream, now) ? unreachableFactor : 1) + roundTrip;
+    const double latency = std::max(average.count, 1.0) * (1 + load(upstream)) / std::max(upstream.successRate, m_tuning.successFloor);
+    const bool refusedRecently = criteria.now - upstream.refusedAt < m_tuning.refusalPenalty;
+    return latency * domainFactor * (refusedRecently ? 2 : 1) * (isUnreachable(upstream, criteria.now) ? unreachableFactor : 1) + roundTrip;
 }
 
-load_balancer::upstream_state *load_balancer::cheaper(upstream_state *left, upstream_state *right, millis now) const
+load_balancer::upstream_state *load_balancer::cheaper(upstream_state *left, upstream_state *right, const choice_criteria &criteria) const
 {
     if (!left || !right) {
         return left ? left : right;
     }
-    return cost(*right, now) < cost(*left, now) ? right : left;
+    return cost(*right, criteria) < cost(*left, criteria) ? right : left;
 }
 
 /// Chooses the best of a few randomly sampled upstreams, so that the cost of a choice does not depend on the size of the service.
 /// Unreachable upstreams are chosen only if there is no other.
-load_balancer::upstream_state *
-load_balancer::chooseFrom(const std::vector<upstream_state *> &from, int count, const std::vector<node_id> &avoid, const call_standing &standing, millis now)
+load_balancer::upstream_state *load_balancer::chooseFrom(const std::vector<upstream_state *> &from, int count, const choice_criteria &criteria)
 {
     upstream_state *best = nullptr;
     upstream_state *unreachable = nullptr;
@@ -108,14 +124,14 @@
         const std::size_t ahead = step <= 1 ? step * stride : (step <= stride ? step - 1 : step);
         const std::size_t index = (start + ahead) % size;
         auto *candidate = from[index];
-        if (contains(avoid, candidate->node) || !hasRoom(*candidate, standing, now)) {
+        if (contains(criteria.avoid, candidate->node) || !hasRoom(*candidate, criteria.standing, criteria.now)) {
             continue;
         }
-        if (isUnreachable(*candidate, now)) {
+        if (isUnreachable(*candidate, criteria.now)) {
             unreachable = candidate;
             continue;
         }
-        best = cheaper(best, candidate, now);
+        best = cheaper(best, candidate, criteria);
         ++compared;
     }
     return best ? best : unreachable;
@@ -174,9 +190,11 @@
     if (found == m_services.end()) {
         return {};
     }
-    auto *own = chooseFrom(found->second.own, m_tuning.candidatesOwn, avoid, standing, now);
-    auto *any = chooseFrom(found->second.all, m_tuning.candidatesAll, avoid, standing, now);
-    const auto *best = cheaper(own, any, now);
+    choice_criteria criteria{avoid, standing, 1, now};
+    auto *own = chooseFrom(found->second.own, m_tuning.candidatesOwn, criteria);
+    criteria.domainFactor = domainFactor(own);
+    auto *any = chooseFrom(found->second.all, m_tuning.candidatesAll, criteria);
+    const auto *best = cheaper(own, any, criteria);
     return best ? best->node : node_id();
 }
 
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -255,6 +255,33 @@
     EXPECT_EQ(actions.front().type, dispatch_action::action_type::forward);
 }
 
+// Guards against an upstream of the own failure domain that is overfilled while those of other domains have room.
+TEST(load_balancer, calls_leave_the_own_failure_domain_before_its_upstream_is_full)
+{
+    tunables tuning;
+    tuning.crossDomainFactor = 2.5;
+    const auto callsAway = [&](int pendingHere) {
+        load_balancer routes(tuning, "here", 1);
+        for (const std::string domain : {"here", "away"}) {
+            routes.update(domain, "s", domain, true);
+            response_sample sample;
+            sample.latency = {200};
+            sample.success = true;
+            sample.limit = 20;
+            sample.pending = domain == "here" ? pendingHere : 4;
+            routes.sent(domain);
+            routes.done(domain, true, sample, {0});
+        }
+        int away = 0;
+        for (int i = 0; i < 100; ++i) {
+            away += routes.choose("s", {}, {10}) == "away" ? 1 : 0;
+        }
+        return away;
+    };
+    EXPECT_EQ(callsAway(8), 0) << "there is room in the own domain";
+    EXPECT_GE(callsAway(20), 50) << "the own domain is full";
+}
+
 /// At low load, an upstream joins whose limit is not known yet: it must get its share of calls.
 TEST(load_balancer, a_new_upstream_gets_its_share_of_calls_at_low_load)
 {
