--- a/packages/base/include/turmericspar/base/listener.h
+++ b/packages/base/include/turmericspar/base/listener.h
@@ -24,7 +24,7 @@
     listener(const listener &) = delete;
     listener &operator=(const listener &) = delete;
 
-    /// Binds the address and starts to accept connections.
+    /// Binds the address and starts to accept connections. Blocks for up to ten seconds while another process holds the address.
     /// @param step the operation to name in a failure
     /// @return the bound address, with the port that the host chose if the given one was 0
     result<endpoint> listen(const endpoint &address, const char *step);
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -3,6 +3,7 @@
 /// responses, and pipelined requests.
 #include "turmericspar/base/http_client.h"
 #include "turmericspar/base/http_server.h"
+#include "turmericspar/base/listener.h"
 
 #include <arpa/inet.h>
 #include <csignal>
@@ -11,6 +12,8 @@
 #include <event2/listener.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -317,4 +320,26 @@
     close(descriptor);
 }
 
+// Guards against a node that ends at its start because its predecessor is still finishing calls on the same port.
+TEST(listener, waits_for_another_process_to_release_the_address)
+{
+    event_loop loop;
+    const int former = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(bind(former, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
+    ASSERT_EQ(listen(former, 1), 0);
+    socklen_t length = sizeof(address);
+    ASSERT_EQ(getsockname(former, reinterpret_cast<sockaddr *>(&address), &length), 0);
+    std::thread release([former] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        close(former);
+    });
+    listener successor(loop, [](int, const sockaddr *) {});
+    const auto listening = successor.listen(endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&address)), "listen");
+    EXPECT_TRUE(listening) << listening.error().text();
+    release.join();
+}
+
 } // namespace
