--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -309,11 +309,7 @@
     out.set_body(std::move(request.body));
     const auto condition = m_routes.condition(action.node);
     if (condition.run != 0) {
-        out.mutable_condition()->set_run(condition.run);
-        out.mutable_condition()->set_leaving(condition.leaving);
-        if (condition.rateLimit) {
-            out.mutable_condition()->set_rate_limit(*condition.rateLimit);
-        }
+        toWire(condition, *out.mutable_condition());
     }
     fieldsToWire(request.fields, m_profile.calls.commonFields, out);
     m_callbacks.sendRequest(action.node, std::move(out), context.deadline);
@@ -325,16 +321,12 @@
     if (from == m_self) {
         return;
     }
-    upstream_condition condition;
+    // A node that has just started refuses calls before it knows what its upstream states: only an answer of the upstream states nothing.
     if (reply.has_condition()) {
-        condition.run = reply.condition().run();
-        condition.leaving = reply.condition().leaving();
-        condition.rateLimit = reply.condition().has_rate_limit() ? std::optional<double>(reply.condition().rate_limit()) : std::nullopt;
-    } else if (reply.outcome() != static_cast<std::uint32_t>(call_outcome::ran)) {
-        // A node that has just started refuses calls before it knows what its upstream states.
-        return;
+        m_routes.recordCondition(from, fromWire(reply.condition()));
+    } else if (reply.outcome() == static_cast<std::uint32_t>(call_outcome::ran)) {
+        m_routes.recordCondition(from, {});
     }
-    m_routes.recordCondition(from, condition);
 }
 
 void call_path::onReply(const node_id &from, wire::CallReply &reply)
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -31,10 +31,6 @@
 
 namespace turmericspar {
 
-namespace wire {
-class UpstreamCondition;
-} // namespace wire
-
 /// Callbacks through which the call path uses the rest of the node.
 struct call_path_callbacks
 {
@@ -198,7 +194,7 @@
     void start(call_id id);
     void onUpstreamOutcome(call_id id, http_outcome outcome);
     void readStatements(call_id id, const http_response &response);
-    void applyReportedCondition(const wire::UpstreamCondition &reported);
+    void applyReportedCondition(const upstream_condition &reported);
     void logRateLimit(std::optional<double> previous, std::string_view source) const;
     void setLeaving(std::string_view source);
     void recordCondition(const node_id &from, const wire::CallReply &reply);
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -51,7 +51,7 @@
         return;
     }
     if (request.has_condition()) {
-        applyReportedCondition(request.condition());
+        applyReportedCondition(fromWire(request.condition()));
     }
     http_request out;
     out.method = request.method();
@@ -281,17 +281,17 @@
 }
 
 /// Applies what another node knows about the upstream. This node may have started after the upstream stated it.
-void call_path::applyReportedCondition(const wire::UpstreamCondition &reported)
+void call_path::applyReportedCondition(const upstream_condition &reported)
 {
-    if (m_upstreamRun == 0 || reported.run() != m_upstreamRun) {
+    if (m_upstreamRun == 0 || reported.run != m_upstreamRun) {
         return;
     }
-    if (reported.leaving()) {
+    if (reported.leaving) {
         setLeaving("node");
     }
-    if (reported.has_rate_limit() && reported.rate_limit() >= 0) {
+    if (reported.rateLimit) {
         const auto previous = m_serving.rateLimit();
-        m_serving.rateReported(reported.rate_limit(), monotonicNow());
+        m_serving.rateReported(*reported.rateLimit, monotonicNow());
         logRateLimit(previous, "node");
     }
 }
@@ -516,14 +516,9 @@
     reply.set_level(std::max(m_serving.level(), dependencyLevel));
     reply.set_limit(static_cast<std::uint32_t>(std::max(m_serving.limit(), 0)));
     reply.set_pending(static_cast<std::uint32_t>(m_serving.running() + m_serving.waiting()));
-    const auto rateLimit = m_serving.rateLimit();
-    if (m_upstreamRun != 0 && (rateLimit || m_upstreamLeaving)) {
-        auto &condition = *reply.mutable_condition();
-        condition.set_run(m_upstreamRun);
-        condition.set_leaving(m_upstreamLeaving);
-        if (rateLimit) {
-            condition.set_rate_limit(*rateLimit);
-        }
+    const upstream_condition stated{m_upstreamRun, m_serving.rateLimit(), m_upstreamLeaving};
+    if (stated.run != 0 && (stated.rateLimit || stated.leaving)) {
+        toWire(stated, *reply.mutable_condition());
     }
 }
 
--- a/packages/node/include/turmericspar/node/wire.h
+++ b/packages/node/include/turmericspar/node/wire.h
@@ -14,6 +14,7 @@
 
 namespace wire {
 class Member;
+class UpstreamCondition;
 } // namespace wire
 
 /// Converts a member to its message.
@@ -21,6 +22,11 @@
 /// Converts a message to a member. @return nothing if a field is out of range or the node is no valid address
 std::optional<member> fromWire(const wire::Member &in);
 
+/// Converts what is known of an upstream to its message.
+void toWire(const upstream_condition &condition, wire::UpstreamCondition &out);
+/// Converts a message to what is known of an upstream. A rate limit that is no valid one is left out.
+upstream_condition fromWire(const wire::UpstreamCondition &in);
+
 /// Serializes a gossip message, without signature.
 /// @param wallClock the sender's wall-clock time, as the timestamp of the message
 std::string encodeGossip(const gossip_message &message, millis wallClock);
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -4,6 +4,7 @@
 #include "turmericspar/base/endpoint.h"
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace turmericspar {
 
@@ -40,6 +41,26 @@
     return entry;
 }
 
+void toWire(const upstream_condition &condition, wire::UpstreamCondition &out)
+{
+    out.set_run(condition.run);
+    out.set_leaving(condition.leaving);
+    if (condition.rateLimit) {
+        out.set_rate_limit(*condition.rateLimit);
+    }
+}
+
+upstream_condition fromWire(const wire::UpstreamCondition &in)
+{
+    upstream_condition condition;
+    condition.run = in.run();
+    condition.leaving = in.leaving();
+    if (in.has_rate_limit() && std::isfinite(in.rate_limit()) && in.rate_limit() >= 0) {
+        condition.rateLimit = in.rate_limit();
+    }
+    return condition;
+}
+
 std::string encodeGossip(const gossip_message &message, millis wallClock)
 {
     wire::Gossip out;
