--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A node is stopped with SIGTERM while its backend, which keeps running, makes calls through it."""
+"""A backend deregisters and is acknowledged; the node beside it is killed and started again; a heartbeat of before arrives late."""
 
 import asyncio
 import os
@@ -8,74 +8,66 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
-from standins import Backend, DEADLINE, Node, Store, TROUBLE, ask, ips, main, new_id, route  # noqa: E402
+from standins import Backend, Node, Store, TROUBLE, ask, ips, main, route  # noqa: E402
 
-GRACE_S = 6.0  # grace-s 6
-SENT_SOON_S = 3.0  # requests sent up to here after the SIGTERM may be cut in the last sixth of grace-s
-CALL_WORK_S = 0.35
-PARENT_S = 8.0
+DRAIN_S = 2.0  # drain-ms 2,000
+STABILITY_S = 3.0  # stability-ms 3,000
+SERVES_ON_S = 9.0
+LATE_S = 4.0
 
 
 async def case(record, directory, nodes):
     store = Store(record)
     await store.start()
-    store.configure(1, [route("parent", "svc-a", timeout_ms=10000), route("child", "svc-b", timeout_ms=5000)], ["svc-a", "svc-b"])
+    store.configure(1, [route("book", "svc-a", kind="non_idempotent")], ["svc-a", "svc-b"])
     backends = []
     for number, (ip, service) in enumerate(zip(ips(2), ["svc-a", "svc-b"])):
         node = Node(record, directory, f"node-{number}", ip, "east", service, store.address)
         nodes.append(node)
         await node.start()
-        backend = Backend(record, service, "east", ip, work_s=CALL_WORK_S)
+        backend = Backend(record, service, "east", ip)
         await backend.start()
         backend.begin_heartbeats(node.control)
         backends.append(backend)
     for node in nodes:
         await node.wait_ready()
     await asyncio.sleep(4)
-    stopped, other = nodes
-    calls = []  # (sent at, attempt id, status, ended at, deadline in ms)
+    beside, other = nodes
+    leaving = backends[0]
+    if (await ask(record, other.outbound, "/book/x", method="POST", body=b"1"))[0] != 200:
+        return None
 
-    async def work(backend, request):
-        """Makes calls through the node beside the backend, one after the other; each expires at the deadline of the request that runs."""
-        line, fields, _ = request
-        until = time.monotonic() + int(fields[DEADLINE.lower()]) / 1000
-        times = int(line.split(" ")[1].rsplit("/", 1)[1])
-        end = time.monotonic() + PARENT_S
-        for _ in range(times):
-            left = int((until - time.monotonic()) * 1000)
-            if left < 500 or time.monotonic() > end:
-                break
-            attempt, sent = new_id(), time.monotonic()
-            status = (await ask(record, stopped.outbound, "/child/x", left, attempt, who=f"backend {backend.id}"))[0]
-            calls.append((sent, attempt, status, time.monotonic(), left))
-            if status != 200:
-                return 500, b"a call failed"
-        return 200, b"done"
-
-    backends[0].work = work
-    for _ in range(15):
-        await asyncio.gather(*(ask(record, other.outbound, "/parent/1", 10000) for _ in range(3)))
-    long_request = asyncio.create_task(ask(record, other.outbound, "/parent/1000", 10000))
-    await asyncio.sleep(0.5)
-    term = time.monotonic()
-    if TROUBLE:
-        stopped.signal(signal.SIGTERM)
-    await asyncio.gather(long_request, return_exceptions=True)
+    # The last heartbeat is delayed on its way; without an acknowledgement the backend goes on.
+    leaving.beating.cancel()
+    delayed = leaving.heartbeat()
+    record.write(f"backend {leaving.id}: heartbeat {leaving.seq} (ready) sent, delayed on its way")
+    await asyncio.sleep(1)
+    if not await leaving.say(leaving.deregistration(), "deregistration"):
+        return None
+    acknowledged = time.monotonic()
+    await asyncio.sleep(0.3)
     if TROUBLE:
-        code = await stopped.ended(GRACE_S - (time.monotonic() - term) + 0.5)
-        record.write(f"{stopped.name}: exit code {code}")
-    await asyncio.sleep(0.5)
-
-    ran = {run[1]: run for run in backends[1].runs}
-    lost = 0
-    for sent, attempt, status, ended, deadline in calls:
-        if sent < term or attempt not in ran or status != 0:
-            continue
-        record.write(f"call {attempt}: sent {sent - term:.2f} s after SIGTERM, passed on, its connection ended {ended - term:.2f} s after SIGTERM without an answer, "
-                     f"{deadline / 1000 - (ended - sent):.1f} s before its deadline")
-        lost += sent - term > SENT_SOON_S and ended - term < GRACE_S + 1
-    record.write(f"requests lost: {lost}")
-    return lost == 0
+        beside.signal(signal.SIGKILL)
+        await beside.ended(1)
+        await asyncio.sleep(0.3)
+        await beside.start()
+        await beside.wait_ready()
+    started = time.monotonic()
+    await asyncio.sleep(LATE_S - (time.monotonic() - acknowledged))
+    await leaving.say(delayed, "delayed heartbeat arrives")
+    bound = max(acknowledged + DRAIN_S, started + STABILITY_S)
+    reached = 0
+    while time.monotonic() < acknowledged + SERVES_ON_S:
+        sent = time.monotonic()
+        before = len(leaving.runs)
+        await ask(record, other.outbound, "/book/x", method="POST", body=b"1")
+        if sent > bound and len(leaving.runs) > before:
+            reached += 1
+            record.write(f"VIOLATION: a request sent {sent - acknowledged:.2f} s after the acknowledgement of the deregistration reached the backend, "
+                         f"{sent - started:.2f} s after its node was started again")
+        await asyncio.sleep(0.2)
+    record.write(f"requests that reached the backend that had left: {reached}")
+    return reached == 0
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,120 +1,81 @@
-"""A backend reads long requests slowly; the node beside it must stay within its memory."""
+"""A node is stopped with SIGTERM while its backend, which keeps running, makes calls through it."""
 
 import asyncio
 import os
-import re
 import signal
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
-from standins import ATTEMPT_ID, SIGNATURE, Backend, Broken, Node, Store, TROUBLE, ask, close, connect, ips, main, new_id, read_message, request, response, route  # noqa: E402,E501
+from standins import Backend, DEADLINE, Node, Store, TROUBLE, ask, ips, main, new_id, route  # noqa: E402
 
-MEMORY_MB = 260  # memory-mb 260: the platform kills a process that exceeds it
-MAX_BODY_BYTES = 67108864  # max-body-bytes of the configuration
-BODY_BYTES = 30_000_000
-UPLOADS = 4
-PAUSE_S = 1.5
-SLOW_CHUNK_S = 0.06  # for 64 KiB, about 1 MB a second
-PROMPT = 12
-DEADLINE_MS = 20000
-
-
-class SlowReader(Backend):
-    """A backend that takes the body of a request piece by piece."""
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                attempt = re.search(rb"Attempt-Id: (\w+)", head).group(1).decode()
-                left = int(re.search(rb"Content-Length: (\d+)", head).group(1))
-                self.runs.append([time.monotonic(), attempt, "/upload/x", False])
-                self.record.write(f"backend {self.id} of {self.service}: reads {attempt}, {left} bytes")
-                while left > 0:
-                    data = await reader.read(min(left, 65536))
-                    if not data:
-                        raise Broken("in a body")
-                    left -= len(data)
-                    if TROUBLE:
-                        await asyncio.sleep(SLOW_CHUNK_S)
-                self.record.write(f"backend {self.id} of {self.service}: {attempt} done, 200")
-                writer.write(response(200, {ATTEMPT_ID: attempt, SIGNATURE: "sig." + attempt}, b"stored"))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, Broken, ConnectionError, OSError):
-            pass
-        finally:
-            await close(writer)
+GRACE_S = 6.0  # grace-s 6
+SENT_SOON_S = 3.0  # requests sent up to here after the SIGTERM may be cut in the last sixth of grace-s
+CALL_WORK_S = 0.35
+PARENT_S = 8.0
 
 
 async def case(record, directory, nodes):
     store = Store(record)
     await store.start()
-    routes = [route("upload", "svc-a", kind="non_idempotent", timeout_ms=DEADLINE_MS), route("history", "svc-b")]
-    store.configure(1, routes, ["svc-a", "svc-b"], {"max-header-bytes": 16384, "max-body-bytes": MAX_BODY_BYTES, "header-timeout-ms": 3000,
-                                                    "idle-timeout-ms": 15000})
+    store.configure(1, [route("parent", "svc-a", timeout_ms=10000), route("child", "svc-b", timeout_ms=5000)], ["svc-a", "svc-b"])
     backends = []
     for number, (ip, service) in enumerate(zip(ips(2), ["svc-a", "svc-b"])):
         node = Node(record, directory, f"node-{number}", ip, "east", service, store.address)
         nodes.append(node)
         await node.start()
-        backend = (SlowReader if service == "svc-a" else Backend)(record, service, "east", ip, work_s=0.3)
+        backend = Backend(record, service, "east", ip, work_s=CALL_WORK_S)
         await backend.start()
         backend.begin_heartbeats(node.control)
         backends.append(backend)
     for node in nodes:
         await node.wait_ready()
     await asyncio.sleep(4)
-    entry = nodes[0]
-    stop = asyncio.Event()
-    lost = []
-    peak = 0
-    killed = False
+    stopped, other = nodes
+    calls = []  # (sent at, attempt id, status, ended at, deadline in ms)
 
-    async def watch_memory():
-        """The platform's limit on the memory of a process."""
-        nonlocal peak, killed
-        while not stop.is_set():
-            used = entry.memory_kb()
-            peak = max(peak, used)
-            if used > MEMORY_MB * 1024 and not killed:
-                killed = True
-                record.write(f"{entry.name}: uses {used // 1024} MB of {MEMORY_MB} MB, killed by the platform")
-                entry.signal(signal.SIGKILL)
-            await asyncio.sleep(0.01)
+    async def work(backend, request):
+        """Makes calls through the node beside the backend, one after the other; each expires at the deadline of the request that runs."""
+        line, fields, _ = request
+        until = time.monotonic() + int(fields[DEADLINE.lower()]) / 1000
+        times = int(line.split(" ")[1].rsplit("/", 1)[1])
+        end = time.monotonic() + PARENT_S
+        for _ in range(times):
+            left = int((until - time.monotonic()) * 1000)
+            if left < 500 or time.monotonic() > end:
+                break
+            attempt, sent = new_id(), time.monotonic()
+            status = (await ask(record, stopped.outbound, "/child/x", left, attempt, who=f"backend {backend.id}"))[0]
+            calls.append((sent, attempt, status, time.monotonic(), left))
+            if status != 200:
+                return 500, b"a call failed"
+        return 200, b"done"
 
-    async def read_promptly(number):
-        """One client on a kept connection, one request after the other."""
-        reader, writer = await connect(entry.outbound)
-        while not stop.is_set():
-            attempt = new_id()
-            try:
-                writer.write(request("/history/x", attempt, 5000))
-                answer = await read_message(reader)
-            except (Broken, ConnectionError, OSError):
-                answer = None
-            if answer is None:
-                passed_on = any(run[1] == attempt for run in backends[1].runs)
-                record.write(f"client {number}: {attempt} -> connection ended without an answer, {'passed on' if passed_on else 'not passed on'}")
-                lost.extend([attempt] if passed_on else [])
-                return
-        await close(writer)
+    backends[0].work = work
+    for _ in range(15):
+        await asyncio.gather(*(ask(record, other.outbound, "/parent/1", 10000) for _ in range(3)))
+    long_request = asyncio.create_task(ask(record, other.outbound, "/parent/1000", 10000))
+    await asyncio.sleep(0.5)
+    term = time.monotonic()
+    if TROUBLE:
+        stopped.signal(signal.SIGTERM)
+    await asyncio.gather(long_request, return_exceptions=True)
+    if TROUBLE:
+        code = await stopped.ended(GRACE_S - (time.monotonic() - term) + 0.5)
+        record.write(f"{stopped.name}: exit code {code}")
+    await asyncio.sleep(0.5)
 
-    tasks = [asyncio.create_task(watch_memory())] + [asyncio.create_task(read_promptly(number)) for number in range(PROMPT)]
-    await asyncio.sleep(1)
-    body = b"x" * BODY_BYTES
-    uploads = []
-    for _ in range(UPLOADS):
-        uploads.append(asyncio.create_task(ask(record, entry.outbound, "/upload/x", DEADLINE_MS, method="POST", body=body)))
-        await asyncio.sleep(PAUSE_S)
-    await asyncio.wait(uploads, timeout=6)
-    for upload in uploads:
-        upload.cancel()
-    stop.set()
-    await asyncio.wait(tasks, timeout=6)
-    record.write(f"peak memory {peak // 1024} MB; {len(lost)} requests of other clients were passed on and never answered")
-    return len(lost) <= 3
+    ran = {run[1]: run for run in backends[1].runs}
+    lost = 0
+    for sent, attempt, status, ended, deadline in calls:
+        if sent < term or attempt not in ran or status != 0:
+            continue
+        record.write(f"call {attempt}: sent {sent - term:.2f} s after SIGTERM, passed on, its connection ended {ended - term:.2f} s after SIGTERM without an answer, "
+                     f"{deadline / 1000 - (ended - sent):.1f} s before its deadline")
+        lost += sent - term > SENT_SOON_S and ended - term < GRACE_S + 1
+    record.write(f"requests lost: {lost}")
+    return lost == 0
 
 
 if __name__ == "__main__":
