--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -19,6 +19,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LONGEST_S = 112  # a case may run for 120 s
 
 ATTEMPT_ID = "X-Turmericspar-Attempt-Id"
 DEADLINE = "X-Turmericspar-Deadline-Remaining-Ms"
@@ -264,7 +265,7 @@
         self.beating = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, 0, limit=1 << 20)
+        self.server = await asyncio.start_server(self.serve, self.ip, free_port(self.ip), limit=1 << 20)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     def begin_heartbeats(self, control, period=1.5):
@@ -455,9 +456,15 @@
 
 
 def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, so that a listener can be opened again on it."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+                return port
+            except OSError:
+                pass
 
 
 def render(template, values):
@@ -558,32 +565,35 @@
 
 
 def main(case, case_directory):
-    """Runs a case: a coroutine function (record, directory, nodes) that returns whether the rule held. Exits with 0, 1 or 2."""
+    """Runs a case: a coroutine function (record, directory, nodes) that returns whether the rule held, or None if that can't be told.
+    Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run."""
     record = Record(os.path.join(case_directory, "record.txt"))
     directory = tempfile.mkdtemp(prefix="turmericspar-review-")
     nodes = []
     record.write(f"trouble: {'yes' if TROUBLE else 'no'}")
 
     async def run():
+        task = asyncio.ensure_future(case(record, directory, nodes))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(record, directory, nodes), 110)
+            return await asyncio.wait_for(task, LONGEST_S)
         finally:
             for node in nodes:
                 await node.kill()
 
-    status = 2
+    held = None
     try:
         held = asyncio.run(run())
-        status = 0 if held else 1
-    except (asyncio.TimeoutError, SystemExit):
-        record.write("the case could not run")
-    finally:
-        if os.environ.get("REVIEW_KEEP"):
-            print(directory)
-        else:
-            shutil.rmtree(directory, ignore_errors=True)
+    except BaseException as error:  # whatever keeps the case from running is no verdict
+        record.write(f"the case could not run: {error!r}")
+    if os.environ.get("REVIEW_KEEP"):
+        print(directory)
+    else:
+        shutil.rmtree(directory, ignore_errors=True)
+    status = 2 if held is None else 0 if held else 1
     record.write({0: "the rule held", 1: "THE RULE WAS BROKEN", 2: "no result"}[status])
-    print(open(os.path.join(case_directory, "record.txt")).read().splitlines()[-2])
+    print("\n".join(open(os.path.join(case_directory, "record.txt")).read().splitlines()[-2:]))
     sys.stdout.flush()
     # Skips the destructors of streams whose loop has ended.
     os._exit(status)
