A link that goes silent is noticed by whatever is sent on it

Cause: checkLinks took a link for silent only while replies to calls were pending. A pull of the configuration is no call, but marked the link as used; so the link was neither silent nor idle, and version_pull asked on it again and again. Ruled out: a pull that is not repeated (each gossip message repeats it); a loss at the other end (its side of the connection reads nothing).

Change: whatever is sent on a link makes the other node owe a message; a Hello after 150 ms, closed after 500 ms without one. Messages that follow no call (pulls, member tables, suspicions, questions about keys) are sent once more on a new link. event=link_silent. An unused link costs nothing.

--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -71,9 +71,9 @@
 {
     endpoint listen;
     bool useTls = true; ///< whether links are encrypted and authenticated with a key of the deployment
-    millis heartbeatInterval{150}; ///< a Hello is sent if no message arrived for so long while replies are pending
+    millis heartbeatInterval{150}; ///< a Hello is sent if no message arrived for so long after the last one was sent, or while replies are pending
     millis heartbeatTimeout{60}; ///< time to answer a Hello before a link counts as unresponsive: sixty usual round trips
-    millis silenceTimeout{500}; ///< a link is closed, to be replaced, if no message arrived for so long while replies are pending
+    millis silenceTimeout{500}; ///< a link is closed, to be replaced, if no message arrived for so long while one is awaited
     millis welcomeTimeout{400}; ///< time until the Welcome of a node must have arrived
     millis idleTimeout{10'000}; ///< a link that is unused for so long is closed
     millis acceptedIdleTimeout{30'000}; ///< an accepted connection without messages for so long is closed: three idle timeouts of the other node
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -31,9 +31,33 @@
         millis deadline;
     };
     std::deque<queued_request> queued; ///< calls that wait for the Welcome
-    std::vector<wire::LinkMessage> queuedMessages; ///< other messages that wait for the Welcome
+    struct control_message
+    {
+        wire::LinkMessage content;
+        bool repeated = false; ///< whether it was sent before, on a link that went silent
+    };
+    std::vector<control_message> queuedMessages; ///< other messages that wait for the Welcome
+    std::vector<control_message> unconfirmed; ///< other messages that were sent since the last message arrived
+    bool sentSinceReceived = false; ///< whether anything was sent since then, so that the link shows whether it is alive
+
+    /// @return whether the other node owes a message: a reply, or the answer to a Hello that follows whatever was sent last.
+    bool awaitsMessage() const { return welcomed && (pendingReplies > 0 || unresponsive || sentSinceReceived); }
+    bool send(const wire::LinkMessage &message);
 };
 
+/// Sends a message. The silence timeout runs from the moment at which a message of the other node is first awaited.
+bool node_link::peer::send(const wire::LinkMessage &message)
+{
+    if (!stream->send(message)) {
+        return false;
+    }
+    if (!awaitsMessage()) {
+        lastReceivedAt = monotonicNow();
+    }
+    sentSinceReceived = true;
+    return true;
+}
+
 node_link::node_link(event_loop &loop, link_options options, node_id self, const key_ring &keys, std::uint64_t incarnation, link_handlers handlers)
     : m_loop(loop)
     , m_options(std::move(options))
@@ -114,7 +138,7 @@
     target.helloSentAt = monotonicNow();
     wire::LinkMessage hello;
     hello.mutable_hello()->set_node(m_self);
-    target.stream->send(hello);
+    target.send(hello);
 }
 
 /// Sends the incarnation and the clocks of this node.
@@ -154,15 +178,18 @@
         queued.request.set_deadline_in_ms((queued.deadline - now).count);
         wire::LinkMessage message;
         *message.mutable_request() = std::move(queued.request);
-        if (!target.stream->send(message)) {
+        if (target.send(message)) {
+            ++target.pendingReplies;
+        } else {
             m_handlers.onUnsent(call, attempt);
-        } else if (target.pendingReplies++ == 0) {
-            // The silence timeout runs from the moment at which a reply is first pending.
-            target.lastReceivedAt = now;
         }
     }
-    for (const auto &message : std::exchange(target.queuedMessages, {})) {
-        target.stream->send(message);
+    for (auto &message : std::exchange(target.queuedMessages, {})) {
+        if (!target.send(message.content)) {
+            logEvent(log_level::warning, "link_message_unsent", {{"peer", target.node}, {"reason", "the peer does not read"}});
+        } else if (!message.repeated) {
+            target.unconfirmed.push_back(std::move(message));
+        }
     }
 }
 
@@ -178,7 +205,7 @@
         target.pendingReplies = std::max(0, target.pendingReplies - 1);
         wire::LinkMessage message;
         *message.mutable_cancel() = cancel;
-        target.stream->send(message);
+        target.send(message);
     }
 }
 
@@ -223,28 +250,35 @@
 void node_link::sendAfterWelcome(const node_id &node, wire::LinkMessage &&message)
 {
     auto &target = findOrConnect(node);
-    target.queuedMessages.push_back(std::move(message));
+    target.queuedMessages.push_back({std::move(message)});
     if (target.welcomed) {
         flush(target);
     }
 }
 
-/// Sends heartbeats on links with pending replies and no recent message, and closes silent and unused connections.
+/// Sends heartbeats on links that await a message and have received none lately, and closes silent and unused connections.
 void node_link::checkLinks()
 {
     const millis now = monotonicNow();
     std::vector<std::pair<node_id, bool>> linksToClose;
+    std::vector<std::pair<node_id, peer::control_message>> messagesToRepeat;
     bool helloSent = false;
     for (auto &[node, target] : m_peers) {
         const bool welcomeOverdue = !target->welcomed && now - target->openedAt > m_options.welcomeTimeout;
-        const bool awaitsMessage = target->welcomed && (target->pendingReplies > 0 || target->unresponsive);
-        const bool silent = awaitsMessage && now - target->lastReceivedAt > m_options.silenceTimeout;
+        const bool silent = target->awaitsMessage() && now - target->lastReceivedAt > m_options.silenceTimeout;
         const bool idle = target->pendingReplies == 0 && now - target->lastUsedAt > m_options.idleTimeout;
         if (welcomeOverdue || silent || idle) {
             linksToClose.emplace_back(node, welcomeOverdue);
+            if (silent) {
+                logEvent(
+                    log_level::info, "link_silent", {{"peer", node}, {"pending_replies", target->pendingReplies}, {"unconfirmed", target->unconfirmed.size()}});
+            }
+            for (auto &message : std::exchange(target->unconfirmed, {})) {
+                messagesToRepeat.emplace_back(node, std::move(message));
+            }
             continue;
         }
-        if (awaitsMessage && now - target->lastReceivedAt > m_options.heartbeatInterval) {
+        if (target->awaitsMessage() && now - target->lastReceivedAt > m_options.heartbeatInterval) {
             sendHello(*target);
             helloSent = true;
         }
@@ -252,6 +286,11 @@
     for (const auto &[node, failedToOpen] : linksToClose) {
         closeLink(node, failedToOpen);
     }
+    // A silent connection may have lost the messages that follow no call. Each of them may arrive twice without harm.
+    for (auto &[node, message] : messagesToRepeat) {
+        message.repeated = true;
+        findOrConnect(node).queuedMessages.push_back(std::move(message));
+    }
     if (helloSent) {
         m_heartbeatTimeoutTimer = m_loop.after(m_options.heartbeatTimeout, [this] { markUnresponsive(); });
     }
@@ -270,7 +309,7 @@
 void node_link::markUnresponsive()
 {
     for (const auto &[node, target] : m_peers) {
-        if (target->welcomed && target->pendingReplies > 0 && target->helloSentAt > target->lastReceivedAt) {
+        if (target->awaitsMessage() && target->helloSentAt > target->lastReceivedAt) {
             setUnresponsive(*target, true);
         }
     }
@@ -321,6 +360,8 @@
     wire::LinkMessage message;
     if (message.ParseFromArray(frame.data(), static_cast<int>(frame.size()))) {
         from.lastReceivedAt = monotonicNow();
+        from.sentSinceReceived = false;
+        from.unconfirmed.clear();
         setUnresponsive(from, false);
         dispatchPeer(from, message);
     } else {
--- a/packages/node/tests/link_test.cpp
+++ b/packages/node/tests/link_test.cpp
@@ -315,6 +315,99 @@
     EXPECT_EQ(from.linksLost, 1);
 }
 
+/// The other end of links, whose connections go silent after the Welcome: it reads what arrives and writes nothing more.
+class silent_peer
+{
+public:
+    explicit silent_peer(std::uint16_t port)
+    {
+        sockaddr_storage storage;
+        const auto length = endpoint{"127.0.0.1", port}.toSockaddr(storage);
+        const int reuse = 1;
+        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr *>(&storage), length), 0);
+        EXPECT_EQ(listen(m_listener, 8), 0);
+    }
+    silent_peer(const silent_peer &) = delete;
+    silent_peer &operator=(const silent_peer &) = delete;
+    ~silent_peer()
+    {
+        for (const int descriptor : m_connections) {
+            close(descriptor);
+        }
+        close(m_listener);
+    }
+
+    /// Accepts waiting connections, sends each a Welcome, and reads what has arrived on all of them.
+    void poll()
+    {
+        for (int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK); descriptor >= 0;
+             descriptor = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK)) {
+            wire::LinkMessage welcome;
+            welcome.mutable_welcome()->set_incarnation(1);
+            const auto bytes = welcome.SerializeAsString();
+            const std::string frame = std::string{0, 0, 0, static_cast<char>(bytes.size())} + bytes;
+            EXPECT_EQ(send(descriptor, frame.data(), frame.size(), 0), static_cast<ssize_t>(frame.size()));
+            m_connections.push_back(descriptor);
+            received.emplace_back();
+        }
+        for (std::size_t i = 0; i < m_connections.size(); ++i) {
+            std::string bytes(4096, '\0');
+            const auto size = recv(m_connections[i], bytes.data(), bytes.size(), MSG_DONTWAIT);
+            received[i].append(bytes, 0, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+        }
+    }
+
+    /// @return whether a connection has carried a message.
+    bool hasReceived(std::size_t connection, const wire::LinkMessage &message) const
+    {
+        return connection < received.size() && received[connection].find(message.SerializeAsString()) != std::string::npos;
+    }
+
+    std::vector<std::string> received; ///< bytes, by connection
+
+private:
+    int m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    std::vector<int> m_connections;
+};
+
+// Guards against links that carry no calls staying silent for good: a node then never got the configuration that it asked for.
+TEST(node_link, a_message_that_is_no_call_detects_a_silent_link_and_is_sent_again_on_a_new_one)
+{
+    wire::SuspicionPush push;
+    push.add_entries()->set_digest(77);
+    wire::LinkMessage pull;
+    pull.mutable_config_pull()->set_have(3);
+    pull.mutable_config_pull()->set_chain(9);
+    wire::LinkMessage members;
+    members.mutable_member_pull();
+    wire::LinkMessage suspicions;
+    *suspicions.mutable_suspicions() = push;
+    wire::LinkMessage ask;
+    ask.mutable_once_ask()->set_key("key");
+    const std::vector<std::pair<wire::LinkMessage, std::function<void(node_link &, const node_id &)>>> messages{
+        {pull, [](node_link &links, const node_id &node) { links.pullConfig(node, 3, 9); }},
+        {members, [](node_link &links, const node_id &node) { links.pullMembers(node); }},
+        {suspicions, [&](node_link &links, const node_id &node) { links.pushSuspicions(node, push); }},
+        {ask, [&](node_link &links, const node_id &node) { links.sendOnceAsk(node, ask.once_ask()); }},
+    };
+    std::uint16_t port = firstPort + 110;
+    for (const auto &[message, send] : messages) {
+        event_loop loop;
+        test_node from(loop, port++, {oldKey}, trustNetwork);
+        silent_peer to(port);
+        const auto node = endpoint{"127.0.0.1", port++}.text();
+        const auto poller = loop.every(millis{5}, [&] { to.poll(); });
+        send(*from.links, node);
+        runUntil(loop, [&] { return to.hasReceived(1, message); });
+        EXPECT_TRUE(to.hasReceived(0, message)) << message.kind_case();
+        EXPECT_TRUE(to.hasReceived(1, message)) << message.kind_case();
+        // It is not sent for ever: the new link is silent as well, and there is nothing more to be sent.
+        runFor(loop, link_options{}.silenceTimeout * 3);
+        EXPECT_EQ(to.received.size(), 2U) << message.kind_case();
+    }
+}
+
 TEST(node_link, malformed_bytes_close_the_connection)
 {
     const std::vector<std::string> malformed{
