A departure outlives the process that acknowledged it

Cause: the departure stood in the memory of the process that acknowledged it. Ruled out: the order of announcements within a process (it ignores the late one); an outdated entry at the other nodes (they knew that the node was not ready, until its next process said otherwise).

Change: the run that departed is noted in the store under a lease and gossiped in the node's member entry, which the others keep across incarnations and hand to the next process. The acknowledgement waits for the store, at most 400 ms. A run that deregisters while another is current is remembered too.

Two more writes in the store for a departure.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -23,15 +23,6 @@
     return options;
 }
 
-/// @return a number that identifies a run of the upstream process on all nodes; 0 if its announcements do not tell runs apart.
-std::uint64_t upstreamRunOf(const announcement &received)
-{
-    if (received.instance.empty() && !received.startedAt) {
-        return 0;
-    }
-    return stableHash(received.instance + "\n" + std::to_string(received.startedAt.value_or(0)));
-}
-
 } // namespace
 
 request_digest digestOf(const http_request &request)
@@ -92,7 +83,7 @@
     }
     m_announcement = received;
     // An upstream whose announcements do not tell runs apart is taken for a new run once it was gone.
-    const auto run = upstreamRunOf(received);
+    const auto run = runOf({received.instance, received.startedAt, received.sequence});
     if (run != m_upstreamRun || (run == 0 && m_service.empty())) {
         m_upstreamRun = run;
         m_upstreamLeaving = false;
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -32,6 +32,7 @@
     std::function<void()> onConfiguration; ///< a new configuration is in force
     std::function<void(const member &)> onMember; ///< a member's entry changed
     std::function<void(const node_id &)> onMemberForgotten;
+    std::function<void(std::uint64_t run)> onOwnDeparture; ///< a run of this node's upstream has deregistered, as an earlier process acknowledged
 };
 
 /// How many live nodes of a failure domain have a configuration version in force.
@@ -69,6 +70,9 @@
 
     /// Sets what this node announces to the members: its service, and whether its upstream takes new work.
     void setSelf(const std::string &service, bool ready);
+    /// Records with the other members and in the store that a run of this node's upstream has deregistered.
+    /// @param recorded called when the store has acknowledged it, or at once if there is none
+    void recordDeparture(std::uint64_t run, std::function<void()> recorded);
     /// Announces to the other members that this node leaves.
     void leave();
 
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -46,7 +46,8 @@
                 m_seed,
                 {[this] { onConfigurationChanged(); },
                  [this](const member &entry) { onMemberChanged(entry); },
-                 [this](const node_id &node) { m_calls.routes().remove(node); }})
+                 [this](const node_id &node) { m_calls.routes().remove(node); },
+                 [this](std::uint64_t run) { m_upstream.recordDeparture(run); }})
     , m_calls(m_loop, settings, m_profile, m_self, m_incarnation, m_seed, callPathCallbacks())
     , m_links(m_loop, {settings.nodes, !settings.trustNetwork || !settings.keyFiles.empty()}, m_self, keys, m_incarnation, linkHandlers())
     , m_callers(m_loop, callerOptions(settings), [this](const http_exchange_ptr &exchange) { m_calls.accept(exchange); })
@@ -63,7 +64,8 @@
               logEvent(log_level::warning, "upstream_gone", {{"service", m_calls.service()}, {"reason", reason}});
               m_calls.onUpstreamGone();
               m_control.setSelf(m_calls.service(), false);
-          })
+          },
+          [this](std::uint64_t run, std::function<void()> recorded) { m_control.recordDeparture(run, std::move(recorded)); })
     , m_operators(m_loop, keys)
     , m_api(settings, m_self, m_calls, m_control, [this] { return ready(); })
 {
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -39,6 +39,8 @@
     std::uint32_t revision = 0; ///< increases with each change within an incarnation
     member_state state = member_state::alive;
     std::uint64_t version = 0; ///< configuration version in force, as last received
+    /// The run of its upstream that deregistered last; 0 if none is known. It outlives the incarnation: the other members tell it to the node's next process.
+    std::uint64_t departedRun = 0;
 };
 
 /// @return whether a member is alive or suspected, but not yet declared dead.
@@ -109,6 +111,8 @@
     void setSeeds(std::vector<node_id> seeds) { m_seeds = std::move(seeds); }
     /// Updates this node's own entry; a change of service or readiness is sent eagerly, because it affects the routing of calls.
     void setSelf(const std::string &service, bool ready, std::uint64_t version, std::vector<addressed_gossip> &out);
+    /// Announces that a run of this node's upstream has deregistered.
+    void recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out);
     /// Announces that this node is shutting down.
     void leave(std::vector<addressed_gossip> &out);
     /// Eagerly sends the configuration version that setSelf() has set.
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -67,6 +67,14 @@
     sendEagerly(out);
 }
 
+void membership::recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out)
+{
+    m_self.departedRun = run;
+    reviseSelf(m_self.revision);
+    queueUpdate(m_self.node);
+    sendEagerly(out);
+}
+
 /// Gives this node's own entry a revision that supersedes all earlier ones.
 /// @param revision the highest revision that other nodes know
 void membership::reviseSelf(std::uint32_t revision)
@@ -200,6 +208,11 @@
 /// @return whether this node had to correct it, which must be sent eagerly
 bool membership::mergeOwnEntry(const member &update)
 {
+    if (m_self.departedRun == 0 && update.departedRun != 0) {
+        // An earlier process of this node acknowledged the departure.
+        m_self.departedRun = update.departedRun;
+        m_changed.push_back(m_self.node);
+    }
     if (update.incarnation > m_self.incarnation) {
         // A previous process at this address had a higher incarnation, because its clock was ahead.
         m_digest ^= digestOf(m_self);
@@ -254,9 +267,11 @@
         m_recentSuspects[update.node] = now;
     }
     const auto version = versionAfter(update, known);
+    const auto departedRun = update.departedRun != 0 ? update.departedRun : known.departedRun;
     m_digest ^= digestOf(known);
     known = update;
     known.version = version;
+    known.departedRun = departedRun;
     m_digest ^= digestOf(known);
     m_tableChangedAt = now;
     if (how == dissemination::gossip) {
--- a/packages/policy/tests/membership_test.cpp
+++ b/packages/policy/tests/membership_test.cpp
@@ -2,6 +2,7 @@
 /// Membership of many nodes on a virtual clock, with message loss, partitions and restarts.
 #include "turmericspar/policy/membership.h"
 
+#include <algorithm>
 #include <functional>
 #include <gtest/gtest.h>
 #include <map>
@@ -396,6 +397,28 @@
     }
 }
 
+// Guards against an upstream that left being given work again: its node starts anew and must learn of the departure from the others.
+TEST(membership, a_restarted_node_learns_of_the_departure_of_its_upstream_that_it_acknowledged_before)
+{
+    constexpr std::uint64_t run = 4711;
+    for (const int count : {2, 5, 20}) {
+        gossip_net net(count);
+        net.run({20'000});
+        const auto restarted = gossip_net::name(1);
+        std::vector<addressed_gossip> outgoing;
+        net.nodes[restarted]->recordDeparture(run, outgoing);
+        net.deliver(outgoing);
+        net.run({300});
+        net.stop(1);
+        net.run({300});
+        net.start(1);
+        net.run({2000});
+        EXPECT_EQ(net.nodes[restarted]->self().departedRun, run) << count;
+        const auto changed = net.nodes[restarted]->takeChangedNodes();
+        EXPECT_NE(std::find(changed.begin(), changed.end(), restarted), changed.end()) << "the rest of the node must be told";
+    }
+}
+
 RC_GTEST_PROP(membership, updates_in_any_order_give_the_same_table, ())
 {
     const auto entries =
--- a/packages/store/src/seed_registry.cpp
+++ b/packages/store/src/seed_registry.cpp
@@ -3,6 +3,8 @@
 #include "turmericspar/base/log.h"
 
 #include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace turmericspar {
@@ -19,6 +21,21 @@
 /// Key of a node's note of its version, behind the key of its address.
 constexpr const char *settledSuffix = "/settled";
 
+/// Key of a node's note of the run of its upstream that deregistered, behind the key of its address.
+constexpr const char *departedSuffix = "/departed";
+/// How long that note is kept: far longer than announcements are late.
+constexpr millis departedTtl{120'000};
+constexpr int hexadecimal = 16;
+
+/// @return the run that a note of a departure states; 0 if it is malformed.
+std::uint64_t departedRun(const std::string &text)
+{
+    std::uint64_t run = 0;
+    const auto *const last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, run, hexadecimal);
+    return error == std::errc{} && end == last ? run : 0;
+}
+
 /// @return the version that a note states for an epoch; nothing if it is malformed or of another epoch.
 std::optional<std::uint64_t> settledVersion(const std::string &text, std::optional<std::uint64_t> epoch)
 {
@@ -201,6 +218,23 @@
     });
 }
 
+void seed_registry::noteDeparture(std::uint64_t run, std::function<void()> done)
+{
+    m_store.openLease(departedTtl, [this, run, done = std::move(done)](const result<std::string> &lease) {
+        if (!lease) {
+            logFailure(log_level::warning, "departure_not_noted", lease.error());
+            return;
+        }
+        m_store.putUnderLease(m_key + departedSuffix, fmt::format("{:016x}", run), *lease, [done](const write_result &result) {
+            if (result.outcome == write_outcome::applied) {
+                done();
+            } else {
+                logFailure(log_level::warning, "departure_not_noted", result.error);
+            }
+        });
+    });
+}
+
 void seed_registry::read(read_freshness freshness, seeds_handler done)
 {
     const auto handleListing = [this, done = std::move(done)](const result<store_listing> &listing) {
@@ -216,6 +250,8 @@
         const auto relativeKey = entry.key.substr(std::min(m_prefix.size(), entry.key.size()));
         if (entry.key.ends_with(settledSuffix)) {
             parsed.settledVersion = std::max(parsed.settledVersion, settledVersion(entry.value, m_store.epoch()));
+        } else if (entry.key.ends_with(departedSuffix)) {
+            parsed.departedRun = entry.key == m_key + departedSuffix ? departedRun(entry.value) : parsed.departedRun;
         } else if (endpoint::parse(entry.value)) {
             parsed.seeds.push_back({relativeKey.substr(0, relativeKey.find('/')), entry.value});
         }
--- a/packages/upstream/include/turmericspar/upstream/announcement.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -54,31 +55,49 @@
 {
     endpoint listen;
     millis timeout{6000}; ///< an upstream that sends no announcement for this long is considered gone
+    millis recordTimeout{400}; ///< after which a deregistration is acknowledged though its record is not confirmed: upstreams wait for a second
 };
 
 /// Receives the upstream's announcements. Reports each announcement, and the loss of the upstream when it deregisters or times out.
+/// A deregistration is acknowledged once its run is recorded outside this process, so that a restart of the node does not undo it.
 class announcement_server
 {
 public:
     using announcement_handler = std::function<void(const announcement &)>;
     using loss_handler = std::function<void(const std::string &reason)>;
+    /// Records that a run has deregistered, and calls `recorded` when that would survive this process.
+    using departure_handler = std::function<void(std::uint64_t run, std::function<void()> recorded)>;
 
-    announcement_server(event_loop &loop, announcement_options options, notice_reader reader, announcement_handler onAnnouncement, loss_handler onUpstreamLost);
+    announcement_server(event_loop &loop,
+                        announcement_options options,
+                        notice_reader reader,
+                        announcement_handler onAnnouncement,
+                        loss_handler onUpstreamLost,
+                        departure_handler onDeparture);
 
     result<endpoint> listen() { return m_server.listen(m_options.listen); }
+    /// Applies a departure that an earlier process of this node has acknowledged.
+    /// @param run see runOf()
+    void recordDeparture(std::uint64_t run);
 
 private:
     void handleRequest(const http_exchange_ptr &exchange);
+    void deregister(const http_exchange_ptr &exchange, const announcement &content);
+    void acknowledge(std::uint64_t record, const http_exchange_ptr &exchange);
     void reportLost(const std::string &reason);
 
+    event_loop &m_loop;
     announcement_options m_options;
     notice_reader m_reader;
     announcement_order m_order;
     announcement_handler m_onAnnouncement;
     loss_handler m_onUpstreamLost;
+    departure_handler m_onDeparture;
     http_server m_server;
     event_watcher_ptr m_timeoutTimer;
     bool m_isPresent = false;
+    std::uint64_t m_nextRecord = 1;
+    std::map<std::uint64_t, event_watcher_ptr> m_pendingRecords; ///< deregistrations that are not acknowledged yet, with the end of the time for that
 };
 
 } // namespace turmericspar
--- a/packages/upstream/include/turmericspar/upstream/announcement_order.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement_order.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,9 @@
     std::optional<std::uint64_t> sequence; ///< increases within one run
 };
 
+/// @return a number that identifies a run of the upstream process on all nodes; 0 if its announcements do not tell runs apart.
+std::uint64_t runOf(const announcement_position &position);
+
 /// Tracks the newest announcement of this node's upstream. Does no I/O and reads no clock.
 /// The wall clock of the upstream may be set back between two of its runs, so that a later run states an earlier start. A run that was not seen before is
 /// therefore accepted all the same once it has announced itself several times with no word of the current run in between.
@@ -28,8 +32,14 @@
     /// Processes a deregistration, by which an instance states that it accepts no new calls.
     /// @return whether it concerns the current run of the upstream, or a run that is not known yet
     bool acceptDeregistration(const announcement_position &position);
+    /// Records that a run has deregistered, as an earlier process of this node acknowledged: its late announcements are ignored.
+    /// @return whether it is the current run, which was announced until now
+    bool recordDeparture(std::uint64_t run);
+    /// @return the run that deregistered last; 0 if none did or runs can't be told apart.
+    std::uint64_t lastDeparture() const { return m_departed.empty() ? 0 : m_departed.back(); }
 
 private:
+    bool hasDeparted(const announcement_position &position) const;
     bool isNewRun(const announcement_position &position) const;
     bool isPersistentRun(const announcement_position &position);
     void startRun(const announcement_position &position);
@@ -40,6 +50,7 @@
     announcement_position m_previous; ///< the run before, to identify its late messages
     announcement_position m_candidate; ///< a run that seems to have started before the current one
     int m_candidateCount = 0; ///< its announcements in a row
+    std::deque<std::uint64_t> m_departed; ///< runs that deregistered, the last one at the end
 };
 
 } // namespace turmericspar
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -107,12 +107,18 @@
     return upstream_notice{upstream_notice::kind::announced, *parsed};
 }
 
-announcement_server::announcement_server(
-    event_loop &loop, announcement_options options, notice_reader reader, announcement_handler onAnnouncement, loss_handler onUpstreamLost)
-    : m_options(std::move(options))
+announcement_server::announcement_server(event_loop &loop,
+                                         announcement_options options,
+                                         notice_reader reader,
+                                         announcement_handler onAnnouncement,
+                                         loss_handler onUpstreamLost,
+                                         departure_handler onDeparture)
+    : m_loop(loop)
+    , m_options(std::move(options))
     , m_reader(std::move(reader))
     , m_onAnnouncement(std::move(onAnnouncement))
     , m_onUpstreamLost(std::move(onUpstreamLost))
+    , m_onDeparture(std::move(onDeparture))
     , m_server(loop, announcementOptions(), [this](const http_exchange_ptr &exchange) { handleRequest(exchange); })
     , m_timeoutTimer(loop.after(m_options.timeout, [this] { reportLost("silent"); }))
 {
@@ -125,6 +131,41 @@
     }
 }
 
+void announcement_server::recordDeparture(std::uint64_t run)
+{
+    if (m_order.recordDeparture(run)) {
+        reportLost("deregistered before this node started");
+    }
+}
+
+/// Acknowledges a deregistration once it is recorded, or when the time for that is over.
+void announcement_server::deregister(const http_exchange_ptr &exchange, const announcement &content)
+{
+    const bool current = m_order.acceptDeregistration({content.instance, content.startedAt, content.sequence});
+    const auto run = m_order.lastDeparture();
+    if (current) {
+        reportLost("said goodbye");
+    }
+    if (run == 0) {
+        exchange->respond({204, {}, {}});
+        return;
+    }
+    const auto id = m_nextRecord++;
+    m_pendingRecords[id] = m_loop.after(m_options.recordTimeout, [this, id, exchange] {
+        logEvent(log_level::warning, "departure_not_recorded", {{"peer", exchange->peer().text()}, {"span_ms", m_options.recordTimeout}});
+        m_loop.defer([this, id, exchange] { acknowledge(id, exchange); });
+    });
+    m_onDeparture(run, [this, id, exchange] { acknowledge(id, exchange); });
+}
+
+/// Acknowledges a deregistration, if that was not done before.
+void announcement_server::acknowledge(std::uint64_t record, const http_exchange_ptr &exchange)
+{
+    if (m_pendingRecords.erase(record) > 0) {
+        exchange->respond({204, {}, {}});
+    }
+}
+
 void announcement_server::handleRequest(const http_exchange_ptr &exchange)
 {
     // Step 1. Parse the message
@@ -140,10 +181,10 @@
     // Step 2. Apply it only if it is the newest; an outdated message is acknowledged as well
     const auto &content = notice->content;
     if (notice->type == upstream_notice::kind::deregistered) {
-        if (m_order.acceptDeregistration({content.instance, content.startedAt, content.sequence})) {
-            reportLost("said goodbye");
-        }
-    } else if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence})) {
+        deregister(exchange, content);
+        return;
+    }
+    if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence})) {
         m_isPresent = true;
         m_timeoutTimer->restart(m_options.timeout);
         m_onAnnouncement(content);
--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -1,5 +1,8 @@
 #include "turmericspar/upstream/announcement_order.h"
 
+#include "turmericspar/base/secret.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace turmericspar {
@@ -8,6 +11,8 @@
 
 /// Number of announcements after which a run that states an earlier start is taken for the current one.
 constexpr int persistentCount = 3;
+/// Number of departed runs that are remembered. Messages may be some seconds late, a time in which an upstream starts a few times at most.
+constexpr std::size_t departedMax = 16;
 
 bool isSameRun(const announcement_position &left, const announcement_position &right)
 {
@@ -21,6 +26,35 @@
 
 } // namespace
 
+std::uint64_t runOf(const announcement_position &position)
+{
+    if (position.instance.empty() && !position.startedAt) {
+        return 0;
+    }
+    return stableHash(position.instance + "\n" + std::to_string(position.startedAt.value_or(0)));
+}
+
+bool announcement_order::hasDeparted(const announcement_position &position) const
+{
+    const auto run = runOf(position);
+    return run != 0 && std::find(m_departed.begin(), m_departed.end(), run) != m_departed.end();
+}
+
+bool announcement_order::recordDeparture(std::uint64_t run)
+{
+    if (run == 0) {
+        return false;
+    }
+    std::erase(m_departed, run);
+    m_departed.push_back(run);
+    if (m_departed.size() > departedMax) {
+        m_departed.pop_front();
+    }
+    const bool current = m_known && !m_deregistered && run == runOf(m_newest);
+    m_deregistered = m_deregistered || current;
+    return current;
+}
+
 /// @return whether an announcement comes from a later run than the current one.
 bool announcement_order::isNewRun(const announcement_position &position) const
 {
@@ -66,6 +100,9 @@
         m_newest = position;
         return true;
     }
+    if (hasDeparted(position)) {
+        return false;
+    }
     if (isNewRun(position) || isPersistentRun(position)) {
         startRun(position);
         return true;
@@ -84,6 +121,7 @@
 bool announcement_order::acceptDeregistration(const announcement_position &position)
 {
     if (m_known && !position.instance.empty() && position.instance != m_newest.instance) {
+        recordDeparture(runOf(position));
         return false;
     }
     if (!m_known) {
@@ -91,6 +129,7 @@
         m_known = !position.instance.empty();
         m_newest = position;
     }
+    recordDeparture(runOf(m_newest));
     m_deregistered = m_known;
     return true;
 }
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -78,6 +78,37 @@
     EXPECT_TRUE(order.acceptAnnouncement({"a", 2000, 1}));
 }
 
+// Guards against an upstream that left being given work again by a late announcement, after a restart of its node.
+TEST(announcement_order, a_departure_that_an_earlier_process_acknowledged_blocks_late_announcements)
+{
+    announcement_order former;
+    EXPECT_TRUE(former.acceptAnnouncement({"a", 1000, 1}));
+    EXPECT_TRUE(former.acceptDeregistration({"a", 1000, std::nullopt}));
+    const auto run = former.lastDeparture();
+    EXPECT_EQ(run, runOf({"a", 1000, std::nullopt}));
+
+    announcement_order known;
+    EXPECT_FALSE(known.recordDeparture(run));
+    EXPECT_FALSE(known.acceptAnnouncement({"a", 1000, 7}));
+    EXPECT_TRUE(known.acceptAnnouncement({"a", 2000, 1})) << "a new run under the same id";
+
+    announcement_order learnsLate;
+    EXPECT_TRUE(learnsLate.acceptAnnouncement({"a", 1000, 7}));
+    EXPECT_TRUE(learnsLate.recordDeparture(run));
+    EXPECT_FALSE(learnsLate.acceptAnnouncement({"a", 1000, 8}));
+    EXPECT_FALSE(learnsLate.recordDeparture(run)) << "it is gone already";
+}
+
+// Guards against a run that deregisters while another is current, and comes back by a late announcement.
+TEST(announcement_order, the_departure_of_a_run_that_is_not_current_is_remembered)
+{
+    announcement_order order;
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 1}));
+    EXPECT_FALSE(order.acceptDeregistration({"b", 2000, std::nullopt}));
+    EXPECT_FALSE(order.acceptAnnouncement({"b", 2000, 5}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 2}));
+}
+
 // Guards against an upstream that is out of use for good because its clock was set back before it started again.
 TEST(announcement_order, a_run_whose_clock_was_set_back_is_accepted_once_it_persists)
 {
