A late deregistration of an earlier run under the same id is ignored

Cause: acceptDeregistration compared the instance, not the start. Its announcements were compared by both. Change: the same comparison for both.

--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -120,7 +120,7 @@
 
 bool announcement_order::acceptDeregistration(const announcement_position &position)
 {
-    if (m_known && !position.instance.empty() && position.instance != m_newest.instance) {
+    if (m_known && !position.instance.empty() && !isSameRun(position, m_newest)) {
         recordDeparture(runOf(position));
         return false;
     }
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -60,6 +60,17 @@
     EXPECT_TRUE(order.acceptAnnouncement({"b", 2000, 2}));
 }
 
+// Guards against an upstream that started again under its id and is out of use for good, because its former run's deregistration was late.
+TEST(announcement_order, a_late_deregistration_of_an_earlier_run_of_the_same_instance_is_ignored)
+{
+    announcement_order order;
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 1}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 2000, 1}));
+    EXPECT_FALSE(order.acceptDeregistration({"a", 1000, 2}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 2000, 2}));
+    EXPECT_TRUE(order.acceptDeregistration({"a", 2000, 3}));
+}
+
 TEST(announcement_order, an_upstream_without_an_instance_may_deregister_and_return)
 {
     announcement_order order;
