A stopping node takes no call that would outlast its process

Cause: calls that the upstream makes for requests in flight were taken whatever was left of the stop. Ruled out: an end that comes too early; at any end the call taken last would be cut.

Change: stop_intake, a pure decision. In the first half of the stop such calls are taken as before, later only if their deadline lies before the end of the process; the others are refused with a 503 that is true.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -148,7 +148,7 @@
         return;
     }
     const bool madeForRunningCall = call.parent != 0 || call.inferredParent != 0;
-    if (now > m_intakeEndsAt && !madeForRunningCall) {
+    if (!takesRequest(m_stop, madeForRunningCall, call.context.deadline, now)) {
         refuseImmediately(exchange, description, refusal_reason::shutting_down, "the request was complete too late in the stop of this node");
         return;
     }
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -144,10 +144,10 @@
     applyDrain();
 }
 
-void call_path::beginShutdown(millis intakeEndsAt)
+void call_path::beginShutdown(const stop_schedule &schedule)
 {
     m_shuttingDown = true;
-    m_intakeEndsAt = intakeEndsAt;
+    m_stop = schedule;
     applyDrain();
 }
 
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -18,13 +18,13 @@
 #include "turmericspar/policy/load_balancer.h"
 #include "turmericspar/policy/parent_finder.h"
 #include "turmericspar/policy/silence_detector.h"
+#include "turmericspar/policy/stop_intake.h"
 #include "turmericspar/policy/suspects.h"
 #include "turmericspar/upstream/announcement.h"
 #include "turmericspar/upstream/upstream_pool.h"
 #include "turmericspar/upstream/upstream_statement.h"
 
 #include <functional>
-#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -116,9 +116,8 @@
     void reconfigure();
     /// Starts or ends draining of the upstream at the request of an operator.
     void setOperatorDrain(bool draining);
-    /// Stops giving new work to the upstream; requests of callers are still sent to other nodes.
-    /// @param intakeEndsAt after which only calls that the upstream makes for running ones are taken
-    void beginShutdown(millis intakeEndsAt);
+    /// Stops giving new work to the upstream; requests of callers are still sent to other nodes as long as the schedule allows.
+    void beginShutdown(const stop_schedule &schedule);
     /// @return whether the upstream runs calls, for which it may make calls of its own.
     bool upstreamBusy() const { return !m_upstreamCalls.empty(); }
     /// @return whether no call is in progress.
@@ -131,7 +130,7 @@
     call_path_status status() const;
 
 private:
-    static constexpr millis never{std::numeric_limits<double>::max()};
+    static constexpr millis never = stop_schedule::never;
 
     /// A call that a caller sent to this node.
     struct entry_call
@@ -259,7 +258,7 @@
     bool m_upstreamLeaving = false; ///< whether the present run has stated in an answer that it is about to exit
     bool m_operatorDrain = false;
     bool m_shuttingDown = false;
-    millis m_intakeEndsAt = never; ///< after which only calls made for running ones are taken, because the node is shutting down
+    stop_schedule m_stop;
     int m_targetConnections = -1;
     event_watcher_ptr m_tick;
     millis m_tickAt = never; ///< when the tick is due
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -12,7 +12,7 @@
 
 constexpr millis idleCheckInterval{50};
 /// How long a leaving node takes requests of callers after it has announced its departure: every other node has learned of it by then, and what was
-/// taken has the rest of the stop to be answered. Calls that its upstream makes for running ones are taken until the last of these has ended.
+/// taken has the rest of the stop to be answered. Calls that its upstream makes for running ones are taken longer (see takesRequest()).
 constexpr millis leaveDelay{1000};
 constexpr std::size_t seedBytes = sizeof(std::uint64_t);
 
@@ -254,7 +254,7 @@
     }
     logEvent(log_level::info, "shutdown_started", {});
     m_shutdownStartedAt = monotonicNow();
-    m_calls.beginShutdown(m_shutdownStartedAt + leaveDelay);
+    m_calls.beginShutdown(stop_schedule::beginningAt(m_shutdownStartedAt, leaveDelay, m_settings.shutdownWait));
     m_callers.disableKeepAlive();
     m_control.leave();
     m_watchers.push_back(m_loop.every(idleCheckInterval, [this] { finishWhenIdle(); }));
--- a/bench/replay/fleet.cpp
+++ b/bench/replay/fleet.cpp
@@ -105,6 +105,9 @@
                         m_options.logLevel,
                         m_directory,
                         node.name);
+    if (m_options.shutdownWait) {
+        text += fmt::format("shutdown_wait_ms: {:.0f}\n", m_options.shutdownWait->count);
+    }
     if (!m_options.tunables.empty()) {
         text += "tunables:\n";
     }
--- a/bench/replay/fleet.h
+++ b/bench/replay/fleet.h
@@ -6,6 +6,7 @@
 #include "trace.h"
 #include "turmericspar/policy/admission_controller.h"
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -33,6 +34,7 @@
     endpoint platform;
     std::vector<std::string> tunables; ///< "key=value", for variants
     std::string logLevel = "warning";
+    std::optional<millis> shutdownWait; ///< how long a stopping node runs at most; nothing leaves it at its default
 };
 
 /// One node process for each upstream of a trace.
--- a/bench/tests/planned_stop_daemon_test.cpp
+++ b/bench/tests/planned_stop_daemon_test.cpp
@@ -8,8 +8,10 @@
 #include "turmericspar/caller/call_fields.h"
 
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <thread>
 
 namespace {
@@ -32,35 +34,59 @@
     return upstream;
 }
 
-// Guards against a request in flight that fails because the stopping node refuses the calls that its upstream makes for it.
-TEST(planned_stop, calls_made_for_requests_in_flight_are_served_late_in_the_stop)
+/// Two nodes, "booking" and "parts", of which the upstream of "booking" makes calls of "parts" one after the other; the first node is stopped while
+/// a request runs there.
+/// @return the answer to that request, and what the first node logged
+std::pair<result<http_response>, std::string> stopDuringRequest(const trace &plan, std::optional<millis> shutdownWait)
 {
-    trace plan;
-    plan.upstreams = {makeUpstream("booking", "east", {2000}), makeUpstream("parts", "west", {5})};
-    plan.upstreams.front().shape.calls = {{"parts", 1}};
     const endpoint platform{"127.0.0.1", firstPort - 1};
     const auto daemon = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path() / "bin/turmericspard";
-    fleet nodes(plan, fleet_options{daemon, policy_mode::full, firstPort, platform, {}, "info"});
+    fleet nodes(plan, fleet_options{daemon, policy_mode::full, firstPort, platform, {}, "info", shutdownWait});
     standin_thread standins(plan, nodes.nodes(), platform);
     standins.start();
-    ASSERT_TRUE(nodes.start());
+    EXPECT_TRUE(nodes.start());
     const auto token = shared_key::read(nodes.keyFile())->operatorToken();
-    ASSERT_TRUE(waitForAll(nodes.nodes(), token, [](const json &status) { return everyUpstreamIsReady(status, 2); }));
+    EXPECT_TRUE(waitForAll(nodes.nodes(), token, [](const json &status) { return everyUpstreamIsReady(status, 2); }));
 
     auto answer = std::async(std::launch::async, [&] {
         http_request made;
         made.target = "/x";
         made.fields.add("Host", "booking");
         made.fields.add(field::requestId, "r");
+        made.fields.add(field::deadline, "7000");
         return callAndWait(nodes.nodes()[1].callers, made, patience);
     });
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     nodes.stopNode(0);
-    const auto outcome = answer.get();
+    auto outcome = answer.get();
     nodes.stop();
     standins.stop();
+    std::ifstream log(nodes.logFile(0));
+    return {std::move(outcome), std::string(std::istreambuf_iterator<char>(log), {})};
+}
+
+// Guards against a request in flight that fails because the stopping node refuses the calls that its upstream makes for it.
+TEST(planned_stop, calls_made_for_requests_in_flight_are_served_late_in_the_stop)
+{
+    trace plan;
+    plan.upstreams = {makeUpstream("booking", "east", {2000}), makeUpstream("parts", "west", {5})};
+    plan.upstreams.front().shape.calls = {{"parts", 1}};
+    const auto [outcome, log] = stopDuringRequest(plan, std::nullopt);
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->status, 200) << outcome->fields.get(field::reason);
 }
 
+// Guards against calls that a stopping node takes though its process ends before they do: they were passed on and their connections closed.
+TEST(planned_stop, a_call_that_would_outlast_the_process_is_refused_so_that_nothing_is_cut_off)
+{
+    constexpr int calls = 20;
+    trace plan;
+    plan.upstreams = {makeUpstream("booking", "east", {5}), makeUpstream("parts", "west", {300})};
+    plan.upstreams.front().shape.calls = {{"parts", calls}};
+    const auto [outcome, log] = stopDuringRequest(plan, millis{2000});
+    ASSERT_TRUE(outcome) << "the request in flight was cut off";
+    EXPECT_EQ(outcome->fields.get("X-Failed-Call"), refusalNames.name(refusal_reason::shutting_down));
+    EXPECT_NE(log.find("event=shutdown_done overdue=false"), std::string::npos) << log;
+}
+
 } // namespace
