Convictions hold and are handed to nodes that start

Cause: a node that starts anew knew no suspicion, and merge went by time alone: its first suspicion, being later, replaced the conviction at all others. Ruled out: expiry (60 s; the crashes follow the restarts).

Change: a conviction holds until it expires, and whoever suspects the request meanwhile is told of it; a member of the same service that starts anew or was out of reach is handed all that holds.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -151,6 +151,12 @@
     applyDrain();
 }
 
+void call_path::addRemoteSuspicion(const suspicion &reported)
+{
+    m_suspects.merge(reported, monotonicNow());
+    scheduleTick();
+}
+
 void call_path::reconfigure()
 {
     const auto readyNodes = std::max<std::size_t>(m_routes.readyCount(m_service), 1);
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -85,7 +85,9 @@
 
     load_balancer &routes() { return m_routes; }
     /// Adds a suspicion against a request that another node reported.
-    void addRemoteSuspicion(const suspicion &reported) { m_suspects.merge(reported); }
+    void addRemoteSuspicion(const suspicion &reported);
+    /// @return the suspicions that hold, for a node that knows none of them.
+    std::vector<suspicion> activeSuspicions() const { return m_suspects.active(monotonicNow()); }
     once_guard &onceGuard() { return m_once; }
     const once_guard &onceGuard() const { return m_once; }
     call_metrics &metrics() { return m_metrics; }
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -161,6 +161,20 @@
 
 /// Sends suspicions against requests to the other nodes of the same service, which are the ones that may run these requests.
 void node_daemon::broadcastSuspicions(const std::vector<suspicion> &suspicions)
+{
+    for (const auto &item : suspicions) {
+        logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
+    }
+    std::vector<node_id> nodes;
+    for (const auto &[node, entry] : m_control.members().members()) {
+        if (isLive(entry) && entry.service == m_calls.service()) {
+            nodes.push_back(node);
+        }
+    }
+    pushSuspicions(nodes, suspicions);
+}
+
+void node_daemon::pushSuspicions(const std::vector<node_id> &nodes, const std::vector<suspicion> &suspicions)
 {
     wire::SuspicionPush push;
     for (const auto &item : suspicions) {
@@ -168,12 +182,27 @@
         entry->set_digest(item.digest);
         entry->set_level(static_cast<std::uint32_t>(item.level));
         entry->set_age_ms((monotonicNow() - item.at).count);
-        logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
     }
-    for (const auto &[node, entry] : m_control.members().members()) {
-        if (isLive(entry) && entry.service == m_calls.service()) {
-            m_links.pushSuspicions(node, push);
-        }
+    for (const auto &node : nodes) {
+        m_links.pushSuspicions(node, push);
+    }
+}
+
+/// Hands all suspicions to a member of the same service that has started anew or was out of reach, since it missed those that were broadcast.
+void node_daemon::tellSuspicions(const member &entry)
+{
+    if (!isLive(entry) || entry.node == m_self || entry.service != m_calls.service()) {
+        m_toldSuspicions.erase(entry.node);
+        return;
+    }
+    auto &told = m_toldSuspicions[entry.node];
+    if (std::exchange(told, entry.incarnation) == entry.incarnation) {
+        return;
+    }
+    const auto suspicions = m_calls.activeSuspicions();
+    if (!suspicions.empty()) {
+        logEvent(log_level::info, "suspicions_told", {{"peer", entry.node}, {"count", suspicions.size()}});
+        pushSuspicions({entry.node}, suspicions);
     }
 }
 
@@ -196,6 +225,7 @@
 {
     m_calls.onceGuard().onMemberChanged(entry);
     logMemberState(entry);
+    tellSuspicions(entry);
     if (entry.service.empty()) {
         return;
     }
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -29,6 +29,8 @@
     void onMemberChanged(const member &entry);
     void logMemberState(const member &entry);
     void broadcastSuspicions(const std::vector<suspicion> &news);
+    void tellSuspicions(const member &entry);
+    void pushSuspicions(const std::vector<node_id> &nodes, const std::vector<suspicion> &suspicions);
     void respondReadiness(const http_exchange_ptr &exchange) const;
     void onConfigurationChanged();
     void reload();
@@ -52,6 +54,7 @@
     operator_server m_operators;
     operator_api m_api;
     std::map<node_id, std::pair<std::uint64_t, member_state>> m_loggedStates; ///< incarnation and state of each member, as last logged
+    std::map<node_id, std::uint64_t> m_toldSuspicions; ///< incarnation of each live member of the same service that was told all suspicions
     bool m_shuttingDown = false;
     millis m_shutdownStartedAt{0};
     std::vector<event_watcher_ptr> m_watchers;
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -27,7 +27,7 @@
 {
     request_digest digest = 0;
     suspicion_level level = suspicion_level::none;
-    millis at; ///< time of the entry by this node's monotonic clock; a later entry replaces an earlier one
+    millis at; ///< time of the entry by this node's monotonic clock; of two entries of the same weight, the later one holds
 };
 
 struct suspects_tunables
@@ -57,11 +57,14 @@
     /// Decides, once the crash window is over, whether the broken calls were a crash.
     void tick(millis now);
 
-    /// @return whether a decision of tick() is pending.
-    bool needsTick() const { return !m_broken.empty(); }
+    /// @return whether a decision of tick() is pending, or updates wait to be taken.
+    bool needsTick() const { return !m_broken.empty() || !m_updates.empty(); }
 
-    /// Merges an entry of another node.
-    void merge(const suspicion &update);
+    /// Merges an entry of another node. A conviction holds until it expires: a node that knows less may suspect the request anew, and is then
+    /// told of the conviction with the next updates.
+    void merge(const suspicion &update, millis now);
+    /// @return the entries that hold, for a node that knows none of them.
+    std::vector<suspicion> active(millis now) const;
     /// @return entries that changed here since the last call, to be sent to other nodes.
     std::vector<suspicion> takeUpdates();
 
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -72,14 +72,33 @@
     }
 }
 
-void suspects::merge(const suspicion &update)
+void suspects::merge(const suspicion &update, millis now)
 {
+    const bool convicted = level(update.digest, now) == suspicion_level::convicted;
+    if (convicted && update.level != suspicion_level::convicted) {
+        if (update.level == suspicion_level::suspect) {
+            m_updates.push_back(m_entries.at(update.digest));
+        }
+        return;
+    }
     const auto found = m_entries.find(update.digest);
-    if (found == m_entries.end() || update.at > found->second.at) {
+    const bool convicts = !convicted && update.level == suspicion_level::convicted && now - update.at < m_tuning.convictionLifetime;
+    if (convicts || found == m_entries.end() || update.at > found->second.at) {
         put(update);
     }
 }
 
+std::vector<suspicion> suspects::active(millis now) const
+{
+    std::vector<suspicion> entries;
+    for (const auto &[digest, entry] : m_entries) {
+        if (level(digest, now) != suspicion_level::none) {
+            entries.push_back(entry);
+        }
+    }
+    return entries;
+}
+
 std::vector<suspicion> suspects::takeUpdates()
 {
     return std::exchange(m_updates, {});
