Documents of other writers are bounded in depth and never throw

Cause: the JSON library parses any depth, but copies recurse, and settledVersion copied a field of the foreign note to compare it. Ruled out: the parser and the destruction of a document (both go without recursion; a depth of 200,000 as an unknown field did no harm).

Change: parseDocument (base/document) is the one way in for the store, documents of operators, versions of other nodes, heartbeats and submissions.

--- a/apps/turmericsparctl/node_client.cpp
+++ b/apps/turmericsparctl/node_client.cpp
@@ -1,5 +1,6 @@
 #include "node_client.h"
 
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/http_call.h"
 
 namespace turmericspar {
@@ -35,7 +36,7 @@
     if (response->status == 401) {
         return failure{errc::rejected, "call node", m_node.text(), "the node rejected the operators' token; check the key file"};
     }
-    const auto parsed = json::parse(response->body, nullptr, false);
+    const auto parsed = parseDocument(response->body);
     if (parsed.is_discarded()) {
         return failure{errc::malformed_message, "call node", m_node.text(), "the response is not JSON; check that --node names an operators' address"};
     }
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -1,6 +1,7 @@
 #include "control_path.h"
 
 #include "node.pb.h"
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 #include "turmericspar/node/wire.h"
 #include "turmericspar/policy/watcher_choice.h"
@@ -270,13 +271,13 @@
 {
     const auto before = m_log.version();
     if (!push.snapshot().empty()) {
-        if (const auto snapshot = version_snapshot::fromJson(json::parse(push.snapshot(), nullptr, false))) {
+        if (const auto snapshot = version_snapshot::fromJson(parseDocument(push.snapshot()))) {
             m_log.restore(*snapshot);
         }
     }
     std::vector<version_record> records;
     for (const auto &version : push.versions()) {
-        if (auto record = version_record::fromJson(json::parse(version.record(), nullptr, false))) {
+        if (auto record = version_record::fromJson(parseDocument(version.record()))) {
             records.push_back(std::move(*record));
         }
     }
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "operator_api.h"
 
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 #include "turmericspar/base/problem.h"
 
@@ -64,7 +65,7 @@
 result<patch_submission> parseSubmission(const std::string &text)
 {
     const auto malformed = [](const std::string &detail) { return failure{errc::invalid_document, "read submission", "operator", detail}; };
-    const auto parsed = json::parse(text, nullptr, false);
+    const auto parsed = parseDocument(text);
     if (!parsed.is_object()) {
         return malformed("expected a JSON object");
     }
@@ -79,6 +80,9 @@
             return malformed(std::string(key) + ": expected a text");
         }
     }
+    if (parsed.contains("dry_run") && !parsed["dry_run"].is_boolean()) {
+        return malformed("dry_run: expected true or false");
+    }
     patch_submission submission;
     submission.base = parsed["base"].get<std::uint64_t>();
     submission.record.patch = parsed["patch"];
@@ -86,7 +90,7 @@
     submission.record.author = parsed["author"].get<std::string>();
     submission.record.reason = parsed["reason"].get<std::string>();
     submission.record.time = fmt::format("{:%FT%TZ}", fmt::gmtime(static_cast<time_t>(wallNow().count / oneSecond.count)));
-    submission.dryRun = parsed.value("dry_run", false);
+    submission.dryRun = flagOr(parsed, "dry_run", false);
     return submission;
 }
 
@@ -262,7 +266,7 @@
 
 void operator_api::handleDrain(const http_exchange_ptr &exchange)
 {
-    const auto parsed = json::parse(exchange->request().body, nullptr, false);
+    const auto parsed = parseDocument(exchange->request().body);
     if (!parsed.is_object() || !parsed.contains("draining") || !parsed["draining"].is_boolean()) {
         exchange->respond(problemResponse(400, "malformed", "draining: expected true or false"));
         return;
--- a/packages/store/src/consul_protocol.cpp
+++ b/packages/store/src/consul_protocol.cpp
@@ -1,5 +1,7 @@
 #include "turmericspar/store/store_protocol.h"
 
+#include "turmericspar/base/document.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -63,12 +65,13 @@
         if (response.status != 200) {
             return unavailable(response);
         }
-        const auto body = json::parse(response.body, nullptr, false);
+        const auto body = parseDocument(response.body);
         if (!body.is_array()) {
             return malformedResponse("the response is not a JSON array");
         }
         for (const auto &item : body) {
-            if (!item.is_object() || !item.contains("Key") || !item["Key"].is_string() || !item.contains("ModifyIndex")) {
+            if (!item.is_object() || !item.contains("Key") || !item["Key"].is_string() || !item.contains("ModifyIndex")
+                || !item["ModifyIndex"].is_number_unsigned()) {
                 return malformedResponse("an entry lacks Key or ModifyIndex");
             }
             const bool hasValue = item.contains("Value") && item["Value"].is_string();
@@ -99,7 +102,7 @@
 
     result<std::string> readLease(const http_response &response) const override
     {
-        const auto body = json::parse(response.body, nullptr, false);
+        const auto body = parseDocument(response.body);
         if (response.status == 200 && body.is_object() && body.contains("ID") && body["ID"].is_string()) {
             return body["ID"].get<std::string>();
         }
--- a/packages/store/src/seed_registry.cpp
+++ b/packages/store/src/seed_registry.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/store/seed_registry.h"
 
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 
 #include <algorithm>
@@ -39,7 +40,7 @@
 /// @return the version that a note states for an epoch; nothing if it is malformed or of another epoch.
 std::optional<std::uint64_t> settledVersion(const std::string &text, std::optional<std::uint64_t> epoch)
 {
-    const auto note = nlohmann::json::parse(text, nullptr, false);
+    const auto note = parseDocument(text);
     if (!epoch || !note.is_object() || note.value("epoch", nlohmann::json()) != *epoch || !note.contains("version") || !note["version"].is_number_unsigned()) {
         return std::nullopt;
     }
@@ -252,7 +253,7 @@
             parsed.settledVersion = std::max(parsed.settledVersion, settledVersion(entry.value, m_store.epoch()));
         } else if (entry.key.ends_with(departedSuffix)) {
             parsed.departedRun = entry.key == m_key + departedSuffix ? departedRun(entry.value) : parsed.departedRun;
-        } else if (endpoint::parse(entry.value)) {
+        } else if (const auto address = endpoint::parse(entry.value); address && address->port != 0) {
             parsed.seeds.push_back({relativeKey.substr(0, relativeKey.find('/')), entry.value});
         }
     }
--- a/packages/store/src/version_store.cpp
+++ b/packages/store/src/version_store.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/store/version_store.h"
 
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 
 #include <algorithm>
@@ -100,11 +101,11 @@
     for (const auto &entry : listing.entries) {
         if (entry.key == snapshotKey) {
             m_snapshotIndex = entry.index;
-            snapshot = version_snapshot::fromJson(json::parse(entry.value, nullptr, false));
+            snapshot = version_snapshot::fromJson(parseDocument(entry.value));
             m_stored.snapshotVersion = snapshot ? snapshot->version : 0;
             m_stored.snapshotChain = snapshot ? snapshot->chain : 0;
         } else if (entry.key.starts_with(m_prefix + "/patch/")) {
-            if (auto record = version_record::fromJson(json::parse(entry.value, nullptr, false))) {
+            if (auto record = version_record::fromJson(parseDocument(entry.value))) {
                 m_stored.patches.emplace(record->version, stored_record{std::move(*record), entry.index});
             } else {
                 logEvent(log_level::error, "store_entry_malformed", {{"key", entry.key}});
@@ -204,7 +205,7 @@
 {
     int removed = 0;
     for (const auto &entry : listing.entries) {
-        const auto record = version_record::fromJson(json::parse(entry.value, nullptr, false));
+        const auto record = version_record::fromJson(parseDocument(entry.value));
         const bool isPatch = entry.key.starts_with(m_prefix + "/patch/") && record;
         if (isPatch && record->version + historyLength <= m_stored.snapshotVersion && removed < removalsPerAnswer) {
             ++removed;
