An upstream that an odd announcement displaced is accepted again

Cause: announcement_order takes a later start for a restart, rightly, but never went back to a run that it had taken for replaced, nor to a lower sequence.

Change: what is announced three times in a row over 2.5 s, with no word of the present run in between, is current, also if it was seen before. An unknown service displaces no upstream that is present. A true restart is still taken at once, a departed run never.

--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -54,7 +54,7 @@
     , m_readiness(m_loop, {}, [this](const http_exchange_ptr &exchange) { respondReadiness(exchange); })
     , m_upstream(
           m_loop,
-          {settings.upstream},
+          {.listen = settings.upstream, .knowsService = [this](const std::string &service) { return knowsService(service); }},
           m_profile.readNotice,
           [this](const announcement &received) {
               m_calls.onAnnouncement(received);
@@ -257,6 +257,13 @@
     return configurationUsable() && keysCovered && !m_shuttingDown;
 }
 
+/// @return whether an upstream may announce a service: any, as long as the configuration names none.
+bool node_daemon::knowsService(const std::string &service) const
+{
+    const auto &services = m_control.inForce().services;
+    return services.empty() || services.contains(service);
+}
+
 bool node_daemon::configurationUsable() const
 {
     return m_control.startupDone() && !m_profile.lacksConfiguration(m_control.versions().version());
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -38,6 +38,7 @@
     void finishWhenIdle();
     bool ready() const;
     bool configurationUsable() const;
+    bool knowsService(const std::string &service) const;
 
     const node_settings &m_settings;
     const interface_profile m_profile;
--- a/packages/upstream/include/turmericspar/upstream/announcement.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement.h
@@ -55,6 +55,7 @@
 {
     endpoint listen;
     millis timeout{6000}; ///< an upstream that sends no announcement for this long is considered gone
+    std::function<bool(const std::string &service)> knowsService; ///< whether the configuration in force names a service; unset if any may be announced
     millis recordTimeout{400}; ///< after which a deregistration is acknowledged though its record is not confirmed: upstreams wait for a second
 };
 
@@ -82,6 +83,7 @@
 
 private:
     void handleRequest(const http_exchange_ptr &exchange);
+    bool namesOtherService(const announcement &content) const;
     void deregister(const http_exchange_ptr &exchange, const announcement &content);
     void acknowledge(std::uint64_t record, const http_exchange_ptr &exchange);
     void reportLost(const std::string &reason);
@@ -95,6 +97,7 @@
     departure_handler m_onDeparture;
     http_server m_server;
     event_watcher_ptr m_timeoutTimer;
+    std::string m_service; ///< of the last announcement that was accepted
     bool m_isPresent = false;
     std::uint64_t m_nextRecord = 1;
     std::map<std::uint64_t, event_watcher_ptr> m_pendingRecords; ///< deregistrations that are not acknowledged yet, with the end of the time for that
--- a/packages/upstream/include/turmericspar/upstream/announcement_order.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement_order.h
@@ -2,6 +2,8 @@
 /// Detects announcements of an upstream that arrive out of order.
 #pragma once
 
+#include "turmericspar/base/clock.h"
+
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -21,14 +23,15 @@
 std::uint64_t runOf(const announcement_position &position);
 
 /// Tracks the newest announcement of this node's upstream. Does no I/O and reads no clock.
-/// The wall clock of the upstream may be set back between two of its runs, so that a later run states an earlier start. A run that was not seen before is
-/// therefore accepted all the same once it has announced itself several times with no word of the current run in between.
+/// What an announcement states may be wrong: the wall clock of the upstream may be set back between two of its runs, and another writer may state any
+/// start or sequence. What is announced again and again with no word of the current run in between is therefore accepted all the same: a run that
+/// was not seen before after a few announcements, an earlier one or an earlier sequence only when they also span more time than late messages do.
 class announcement_order
 {
 public:
     /// Processes a received announcement.
     /// @return whether it is newer than all earlier ones; the caller must ignore it otherwise
-    bool acceptAnnouncement(const announcement_position &position);
+    bool acceptAnnouncement(const announcement_position &position, millis now);
     /// Processes a deregistration, by which an instance states that it accepts no new calls.
     /// @return whether it concerns the current run of the upstream, or a run that is not known yet
     bool acceptDeregistration(const announcement_position &position);
@@ -41,15 +44,16 @@
 private:
     bool hasDeparted(const announcement_position &position) const;
     bool isNewRun(const announcement_position &position) const;
-    bool isPersistentRun(const announcement_position &position);
+    bool isPersistent(const announcement_position &position, millis now);
     void startRun(const announcement_position &position);
 
     announcement_position m_newest;
     bool m_known = false;
     bool m_deregistered = false; ///< whether the current run has deregistered
     announcement_position m_previous; ///< the run before, to identify its late messages
-    announcement_position m_candidate; ///< a run that seems to have started before the current one
-    int m_candidateCount = 0; ///< its announcements in a row
+    announcement_position m_candidate; ///< the last announcement of those in a row that were not newer than the newest one
+    int m_candidateCount = 0; ///< their number
+    millis m_candidateSince; ///< when the first of them arrived
     std::deque<std::uint64_t> m_departed; ///< runs that deregistered, the last one at the end
 };
 
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/upstream/announcement.h"
 
+#include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 #include "turmericspar/base/problem.h"
 
@@ -42,7 +43,7 @@
 
 result<announcement> parseAnnouncement(const std::string &text)
 {
-    const auto parsed = json::parse(text, nullptr, false);
+    const auto parsed = parseDocument(text);
     if (!parsed.is_object()) {
         return invalidAnnouncement("expected a JSON object");
     }
@@ -53,7 +54,7 @@
     }
     const bool hasAddress = parsed.contains("address") && parsed["address"].is_string();
     const auto address = endpoint::parse(hasAddress ? parsed["address"].get<std::string>() : "");
-    if (!address) {
+    if (!address || address->port == 0) {
         return invalidAnnouncement("address: expected an IP number and a port");
     }
     if (!isCountInRange(parsed, "slots") || !isCountInRange(parsed, "connections")) {
@@ -131,6 +132,12 @@
     }
 }
 
+/// @return whether an announcement of a service that nobody knows would displace an upstream that is present: another writer may have sent it.
+bool announcement_server::namesOtherService(const announcement &content) const
+{
+    return m_isPresent && m_options.knowsService && content.service != m_service && !m_options.knowsService(content.service);
+}
+
 void announcement_server::recordDeparture(std::uint64_t run)
 {
     if (m_order.recordDeparture(run)) {
@@ -184,8 +191,11 @@
         deregister(exchange, content);
         return;
     }
-    if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence})) {
+    if (namesOtherService(content)) {
+        logEvent(log_level::warning, "announcement_ignored", {{"instance", content.instance}, {"service", content.service}, {"reason", "unknown service"}});
+    } else if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence}, monotonicNow())) {
         m_isPresent = true;
+        m_service = content.service;
         m_timeoutTimer->restart(m_options.timeout);
         m_onAnnouncement(content);
     } else {
--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// Number of announcements after which a run that states an earlier start is taken for the current one.
+/// Number of announcements in a row after which a run that states an earlier start is taken for the current one.
 constexpr int persistentCount = 3;
+/// Time that they must span if they may be late messages of a run that was replaced. Late ones arrive together; an upstream announces itself about
+/// every second and a half.
+constexpr millis persistentSpan{2500};
 /// Number of departed runs that are remembered. Messages may be some seconds late, a time in which an upstream starts a few times at most.
 constexpr std::size_t departedMax = 16;
 
@@ -67,20 +70,22 @@
     return position.instance != m_newest.instance && position.instance != m_previous.instance;
 }
 
-/// Counts the announcements in a row of a run other than the current and the previous one.
-/// @return whether there are enough of them to take it for the current run
-bool announcement_order::isPersistentRun(const announcement_position &position)
+/// Counts the announcements in a row of one run that are not newer than the newest one.
+/// @return whether they show that this run is the current one
+bool announcement_order::isPersistent(const announcement_position &position, millis now)
 {
-    if (isSameRun(position, m_newest) || isSameRun(position, m_previous)) {
-        return false;
-    }
     const bool continues = m_candidateCount > 0 && isSameRun(position, m_candidate);
     if (continues && !isLaterInRun(position, m_candidate)) {
         return false;
     }
-    m_candidateCount = continues ? m_candidateCount + 1 : 1;
+    if (!continues) {
+        m_candidateCount = 0;
+        m_candidateSince = now;
+    }
+    ++m_candidateCount;
     m_candidate = position;
-    return m_candidateCount >= persistentCount;
+    const bool seenBefore = isSameRun(position, m_newest) || isSameRun(position, m_previous);
+    return m_candidateCount >= persistentCount && (!seenBefore || now - m_candidateSince >= persistentSpan);
 }
 
 void announcement_order::startRun(const announcement_position &position)
@@ -91,7 +96,7 @@
     m_candidateCount = 0;
 }
 
-bool announcement_order::acceptAnnouncement(const announcement_position &position)
+bool announcement_order::acceptAnnouncement(const announcement_position &position, millis now)
 {
     if (position.instance.empty() && !position.startedAt) {
         // Without an instance name and a start time the order can't be checked, so every announcement is accepted.
@@ -103,19 +108,20 @@
     if (hasDeparted(position)) {
         return false;
     }
-    if (isNewRun(position) || isPersistentRun(position)) {
+    if (isNewRun(position)) {
         startRun(position);
         return true;
     }
-    if (!isSameRun(position, m_newest)) {
-        return false;
+    if (isSameRun(position, m_newest) && (isLaterInRun(position, m_newest) || m_deregistered)) {
+        m_candidateCount = 0;
+        m_newest.sequence = m_deregistered ? m_newest.sequence : position.sequence;
+        return !m_deregistered;
     }
-    m_candidateCount = 0;
-    if (!isLaterInRun(position, m_newest) || m_deregistered) {
-        return false;
+    if (isPersistent(position, now)) {
+        startRun(position);
+        return true;
     }
-    m_newest.sequence = position.sequence;
-    return true;
+    return false;
 }
 
 bool announcement_order::acceptDeregistration(const announcement_position &position)
--- a/packages/upstream/tests/announcement_test.cpp
+++ b/packages/upstream/tests/announcement_test.cpp
@@ -1,9 +1,11 @@
 /// @file announcement_test.cpp
 /// Tests the validation of announcements: invalid ones are rejected with a description of the error.
+#include "turmericspar/base/http_client.h"
 #include "turmericspar/upstream/announcement.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <vector>
 
 namespace {
 
@@ -29,6 +31,7 @@
                              "{}",
                              R"({"service":"","address":"127.0.0.1:9000","slots":1,"connections":1})",
                              R"({"service":"s","address":"some-host:9000","slots":1,"connections":1})",
+                             R"({"service":"s","address":"127.0.0.1:0","slots":1,"connections":1})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":0,"connections":1})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":"many","connections":1})",
                              R"({"service":"s","address":"127.0.0.1:9000","slots":1,"connections":1,"instance":7})",
@@ -53,4 +56,103 @@
     }
 }
 
+/// A server that knows the service "s" only, and a client that sends it announcements.
+class announcements : public testing::Test
+{
+protected:
+    announcements()
+        : server(
+            loop,
+            {{"127.0.0.1", 0}, {6000}, [](const std::string &service) { return service == "s"; }, {1000}},
+            readNotice,
+            [this](const announcement &received) { accepted.push_back(received.instance); },
+            [this](const std::string &) { ++losses; },
+            [this](std::uint64_t run, std::function<void()> recorded) {
+                departures.push_back(run);
+                if (records) {
+                    recorded();
+                }
+            })
+        , address(*server.listen())
+    {
+    }
+
+    /// @return the status of the response
+    int send(const std::string &method, const std::string &body)
+    {
+        http_request request;
+        request.method = method;
+        request.target = "/announcement";
+        request.body = body;
+        int status = 0;
+        http_client client(loop, address, http_limits{});
+        client.connect({1000}, {});
+        client.send(request, {2000}, [&](const http_outcome &outcome) {
+            status = outcome.error ? 0 : outcome.response.status;
+            loop.quit();
+        });
+        loop.run();
+        return status;
+    }
+
+    int announce(const std::string &instance, const std::string &service, std::uint64_t startedAt)
+    {
+        return send("PUT",
+                    R"({"service":")" + service + R"(","address":"127.0.0.1:80","slots":1,"connections":1,"instance":")" + instance + R"(","started_at_ms":)"
+                        + std::to_string(startedAt) + "}");
+    }
+
+    event_loop loop;
+    std::vector<std::string> accepted;
+    std::vector<std::uint64_t> departures;
+    int losses = 0;
+    bool records = true;
+    announcement_server server;
+    endpoint address;
+};
+
+// Guards against an upstream that is out of use because of one announcement that names no service.
+TEST_F(announcements, an_unknown_service_displaces_no_upstream)
+{
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    EXPECT_EQ(announce("odd", "elsewhere", 2000), 204);
+    EXPECT_EQ(announce("b", "s", 3000), 204);
+    EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
+}
+
+TEST_F(announcements, the_first_upstream_may_have_a_service_that_is_not_configured_yet)
+{
+    EXPECT_EQ(announce("a", "new", 1000), 204);
+    EXPECT_EQ(announce("b", "new", 2000), 204);
+    EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
+}
+
+// Guards against a departure that is acknowledged, and forgotten with the process that did so.
+TEST_F(announcements, a_deregistration_is_acknowledged_when_it_is_recorded_or_the_time_for_that_is_over)
+{
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    const millis before = monotonicNow();
+    EXPECT_EQ(send("DELETE", ""), 204);
+    EXPECT_LT((monotonicNow() - before).count, 900);
+    EXPECT_EQ(departures, (std::vector<std::uint64_t>{runOf({"a", 1000, std::nullopt})}));
+    EXPECT_EQ(losses, 1);
+
+    EXPECT_EQ(announce("b", "s", 2000), 204);
+    records = false;
+    const millis unrecorded = monotonicNow();
+    EXPECT_EQ(send("DELETE", ""), 204);
+    EXPECT_GE((monotonicNow() - unrecorded).count, 900);
+    EXPECT_EQ(losses, 2);
+}
+
+TEST_F(announcements, a_departure_of_before_the_start_ends_the_run_that_was_announced)
+{
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    server.recordDeparture(runOf({"a", 1000, std::nullopt}));
+    EXPECT_EQ(losses, 1);
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    EXPECT_EQ(announce("b", "s", 2000), 204);
+    EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
+}
+
 } // namespace
