A watch is renewed when another call on the store goes unanswered

Cause: a watch counts as failed after its time and a margin, 4.5 s, and all watchers begin theirs at the same moment.

Change: a call that was sent and not answered in time (a lease is renewed each second) closes the idle connections and renews the watch, in both forms of the store. event=store_watch_renewed.

Evidence: configuration_document.a_watch_on_a_silent_connection_is_renewed... fails without the handler (8 was not in force 1 s later) and passes with it; platform_interface_test 33 of 33, store_test 23 of 23.

--- a/packages/store/include/turmericspar/store/document_watch.h
+++ b/packages/store/include/turmericspar/store/document_watch.h
@@ -35,6 +35,7 @@
 private:
     void restart();
     void handleRestore();
+    void handleSilence();
     void fetchNext();
     void readDocument();
     void watchDocument();
--- a/packages/store/include/turmericspar/store/store.h
+++ b/packages/store/include/turmericspar/store/store.h
@@ -29,6 +29,7 @@
     using listing_handler = std::function<void(result<store_listing>)>;
     using write_handler = std::function<void(write_result)>;
     using restore_handler = std::function<void()>;
+    using silence_handler = std::function<void()>;
 
     /// @param protocol the wire protocol of the store; by default that of the Consul KV store
     store(event_loop &loop, store_options options, std::unique_ptr<store_protocol> protocol = makeConsulProtocol());
@@ -57,6 +58,10 @@
     /// lost, and its indexes and lease ids are given out again. It is called after the handler of that answer.
     void onRestored(restore_handler handler) { m_restoreHandlers.push_back(std::move(handler)); }
 
+    /// Adds a handler that is called when a call was sent and not answered in time: other connections that were open at that moment may be silent as
+    /// well, so that a watch which waits on one of them would not report a change. Idle connections are closed.
+    void onSilence(silence_handler handler) { m_silenceHandlers.push_back(std::move(handler)); }
+
     /// @return calls made since the start.
     std::uint64_t callCount() const { return m_calls; }
     /// @return the epoch that the store stated last; nothing if it states none.
@@ -71,6 +76,7 @@
     failure restoredMeanwhile(const char *step) const;
     void handleResponse(const http_response &response, std::optional<std::uint64_t> epochAtStart, const char *step, const answer_handler &done);
     void write(http_request request, const char *step, write_handler done);
+    void handleSilence();
     void listPage(const std::string &prefix, read_freshness freshness, store_listing previous, listing_handler done);
 
     event_loop &m_loop;
@@ -80,6 +86,7 @@
     std::optional<std::uint64_t> m_epoch;
     std::uint64_t m_restores = 0;
     std::vector<restore_handler> m_restoreHandlers;
+    std::vector<silence_handler> m_silenceHandlers;
     std::vector<std::unique_ptr<http_client>> m_clients;
 };
 
--- a/packages/store/include/turmericspar/store/version_store.h
+++ b/packages/store/include/turmericspar/store/version_store.h
@@ -34,6 +34,7 @@
     bool reachable() const override { return m_reachable; }
 
 private:
+    void restart();
     void watchNext();
     void handleListing(const result<store_listing> &listing);
     void applyListing(const store_listing &listing);
--- a/packages/store/src/document_watch.cpp
+++ b/packages/store/src/document_watch.cpp
@@ -22,6 +22,7 @@
     : m_loop(loop), m_store(client), m_location(std::move(location)), m_log(log), m_onUpdate(std::move(onUpdate)), m_backoff(backoffMin, backoffMax, seed)
 {
     m_store.onRestored([this] { handleRestore(); });
+    m_store.onSilence([this] { handleSilence(); });
 }
 
 void document_watch::setWatching(bool watching)
@@ -53,6 +54,15 @@
     }
 }
 
+/// Reads the document on another connection if a watch waits on one that may have gone silent.
+void document_watch::handleSilence()
+{
+    if (m_watching && m_index != 0) {
+        logEvent(log_level::info, "store_watch_renewed", {{"reason", "another call was not answered"}});
+        restart();
+    }
+}
+
 void document_watch::refresh(std::function<void(bool reached)> done)
 {
     m_store.list(m_location.key, [this, done = std::move(done)](const result<store_listing> &listing) {
--- a/packages/store/src/store.cpp
+++ b/packages/store/src/store.cpp
@@ -32,6 +32,9 @@
     const auto answered = [this, done = std::move(done), step, epochAtStart = m_epoch, peer = m_options.address.text()](const http_outcome &outcome) {
         if (outcome.error) {
             done(failure{outcome.error, step, peer, outcome.sent ? "the call was sent" : ""});
+            if (outcome.error == errc::timeout && outcome.sent) {
+                m_loop.defer([this] { handleSilence(); });
+            }
         } else {
             handleResponse(outcome.response, epochAtStart, step, done);
         }
@@ -49,6 +52,14 @@
     client.send(request, timeout, answered);
 }
 
+void store::handleSilence()
+{
+    std::erase_if(m_clients, [](const auto &client) { return !client->busy(); });
+    for (const auto &handler : m_silenceHandlers) {
+        handler();
+    }
+}
+
 failure store::restoredMeanwhile(const char *step) const
 {
     return {errc::unavailable, step, m_options.address.text(), "the store was restored meanwhile"};
--- a/packages/store/src/version_store.cpp
+++ b/packages/store/src/version_store.cpp
@@ -34,6 +34,12 @@
 version_store::version_store(event_loop &loop, store &client, std::string prefix, version_log &log, std::function<void()> onUpdate, std::uint64_t seed)
     : m_loop(loop), m_store(client), m_prefix(std::move(prefix)), m_log(log), m_onUpdate(std::move(onUpdate)), m_backoff(backoffMin, backoffMax, seed)
 {
+    m_store.onSilence([this] {
+        if (m_watching && m_index != 0) {
+            logEvent(log_level::info, "store_watch_renewed", {{"reason", "another call was not answered"}});
+            restart();
+        }
+    });
 }
 
 std::string version_store::patchKey(std::uint64_t version) const
@@ -47,12 +53,17 @@
         return;
     }
     m_watching = watching;
+    restart();
+}
+
+/// Abandons the call in progress, and reads the store if this node is watching.
+void version_store::restart()
+{
     ++m_generation;
     m_index = 0;
-    if (watching) {
+    m_retry.reset();
+    if (m_watching) {
         watchNext();
-    } else {
-        m_retry.reset();
     }
 }
 
