The role of watching the store moves on when it turns the watchers away

Cause: the watchers of a failure domain are chosen by hash from the live members, and a refused one kept the role. Ruled out: that all nodes read at times, which grows with the fleet.

--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -4,7 +4,6 @@
 #include "turmericspar/base/document.h"
 #include "turmericspar/base/log.h"
 #include "turmericspar/node/wire.h"
-#include "turmericspar/policy/watcher_choice.h"
 
 #include <algorithm>
 #include <fstream>
@@ -155,6 +154,7 @@
     send(messages);
     publishMemberChanges();
     pullIfBehind();
+    updateStoreAccess();
     updateStartup();
 }
 
@@ -378,13 +378,33 @@
     send(messages);
 }
 
+/// Tells the other members whether the store serves this node, so that others watch it if not.
+void control_path::updateStoreAccess()
+{
+    if (!m_versionSource || !m_watcherTimer) {
+        return;
+    }
+    m_storeAccess.update(m_versionSource->watching(), m_versionSource->reachable(), monotonicNow());
+    std::vector<addressed_gossip> messages;
+    m_members.setWithoutStore(m_storeAccess.lost(), messages);
+    if (!messages.empty()) {
+        logEvent(log_level::info, "store_access", {{"lost", m_storeAccess.lost() ? "true" : "false"}});
+    }
+    send(messages);
+}
+
 /// Decides whether this node is one of the few of its failure domain that watch the store.
 void control_path::updateWatcherRole()
 {
     if (!m_versionSource) {
         return;
     }
-    const watcher_view view{m_members.self().node, m_members.liveInOwnDomain(), m_ownDomainSeeds, m_members.liveCount() == 1, monotonicNow() - m_startedAt};
+    const watcher_view view{m_members.self().node,
+                            m_members.liveInOwnDomain(),
+                            m_ownDomainSeeds,
+                            m_members.liveCount() == 1,
+                            monotonicNow() - m_startedAt,
+                            m_members.withoutStoreInOwnDomain()};
     const bool chosen = isWatcher(view);
     if (chosen != m_versionSource->watching()) {
         logEvent(log_level::info, "store_watch", {{"watching", chosen ? "true" : "false"}});
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -11,6 +11,7 @@
 #include "turmericspar/policy/startup_check.h"
 #include "turmericspar/policy/version_log.h"
 #include "turmericspar/policy/version_pull.h"
+#include "turmericspar/policy/watcher_choice.h"
 #include "turmericspar/store/seed_registry.h"
 #include "turmericspar/store/version_store.h"
 
@@ -106,6 +107,7 @@
     void onGossip(const gossip_message &message);
     void requestPeerClock(const node_id &node);
     void publishMemberChanges();
+    void updateStoreAccess();
     void updateWatcherRole();
     void chooseInitialWatcherRole();
     void readRegisteredSeeds(read_freshness freshness);
@@ -134,6 +136,7 @@
     millis m_seedReadPause{0};
     millis m_startedAt{0};
     std::size_t m_ownDomainSeeds = 0; ///< number of other nodes of this node's failure domain that are registered as seeds in the store
+    store_access m_storeAccess;
     watcher_startup m_watcherStartup = watcher_startup::not_started;
     event_watcher_ptr m_watcherStartupTimer;
     startup_view m_startupView;
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -20,6 +20,7 @@
     out.set_revision(entry.revision);
     out.set_state(static_cast<std::uint32_t>(entry.state));
     out.set_version(entry.version);
+    out.set_without_store(entry.withoutStore);
     out.set_departed_run(entry.departedRun);
 }
 
@@ -39,6 +40,7 @@
     entry.revision = in.revision();
     entry.state = static_cast<member_state>(in.state());
     entry.version = in.version();
+    entry.withoutStore = in.without_store();
     entry.departedRun = in.departed_run();
     return entry;
 }
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -39,6 +39,7 @@
     std::uint32_t revision = 0; ///< increases with each change within an incarnation
     member_state state = member_state::alive;
     std::uint64_t version = 0; ///< configuration version in force, as last received
+    bool withoutStore = false; ///< whether the store has not served it lately, so that others watch the store for it
     /// The run of its upstream that deregistered last; 0 if none is known. It outlives the incarnation: the other members tell it to the node's next process.
     std::uint64_t departedRun = 0;
 };
@@ -111,6 +112,8 @@
     void setSeeds(std::vector<node_id> seeds) { m_seeds = std::move(seeds); }
     /// Updates this node's own entry; a change of service or readiness is sent eagerly, because it affects the routing of calls.
     void setSelf(const std::string &service, bool ready, std::uint64_t version, std::vector<addressed_gossip> &out);
+    /// Announces whether the store has served this node lately.
+    void setWithoutStore(bool withoutStore, std::vector<addressed_gossip> &out);
     /// Announces that a run of this node's upstream has deregistered.
     void recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out);
     /// Announces that this node is shutting down.
@@ -139,6 +142,8 @@
     bool isInOwnDomain(const member &entry) const { return entry.domain == m_self.domain; }
     /// @return the other live members of this node's failure domain.
     std::vector<node_id> liveInOwnDomain() const;
+    /// @return the live members of this node's failure domain, including this one, that the store has not served lately.
+    std::set<node_id> withoutStoreInOwnDomain() const;
     /// @return the number of alive or suspected members, including this one.
     std::size_t liveCount() const;
 
@@ -174,6 +179,7 @@
     void replace(member &known, const member &update, dissemination how, millis now);
     void scheduleSync(const gossip_message &message, millis now);
     void reviseSelf(std::uint32_t revision);
+    void announceSelf(std::vector<addressed_gossip> &out);
     bool mergeOwnEntry(const member &update);
     void queueUpdate(const node_id &node);
     void suspect(const node_id &node, millis now, std::vector<addressed_gossip> &out);
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -62,14 +62,25 @@
     }
     m_self.service = service;
     m_self.ready = ready;
-    reviseSelf(m_self.revision);
-    queueUpdate(m_self.node);
-    sendEagerly(out);
+    announceSelf(out);
+}
+
+void membership::setWithoutStore(bool withoutStore, std::vector<addressed_gossip> &out)
+{
+    if (std::exchange(m_self.withoutStore, withoutStore) != withoutStore) {
+        announceSelf(out);
+    }
 }
 
 void membership::recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out)
 {
     m_self.departedRun = run;
+    announceSelf(out);
+}
+
+/// Sends a change of this node's own entry at once.
+void membership::announceSelf(std::vector<addressed_gossip> &out)
+{
     reviseSelf(m_self.revision);
     queueUpdate(m_self.node);
     sendEagerly(out);
@@ -123,6 +134,17 @@
     return live;
 }
 
+std::set<node_id> membership::withoutStoreInOwnDomain() const
+{
+    std::set<node_id> found;
+    for (const auto &entry : table()) {
+        if (isLive(entry) && isInOwnDomain(entry) && entry.withoutStore) {
+            found.insert(entry.node);
+        }
+    }
+    return found;
+}
+
 std::vector<node_id> membership::takeChangedNodes()
 {
     return std::exchange(m_changed, {});
@@ -251,7 +273,8 @@
     }
     // A refutation must arrive before the suspicion times out at the other nodes, or they declare the member dead.
     const bool refutes = known->second.state == member_state::suspect && update.state == member_state::alive;
-    const bool urgent = refutes || update.ready != known->second.ready || isLive(update) != isLive(known->second);
+    const bool urgent =
+        refutes || update.ready != known->second.ready || update.withoutStore != known->second.withoutStore || isLive(update) != isLive(known->second);
     replace(known->second, update, how, now);
     return urgent;
 }
