The reply to a cancelled call leaves the other calls of its link pending

Cause: the number of pending replies was lowered by the cancellation and by the reply. Change: the calls themselves are kept, each of which ends once. Evidence: the_reply_to_a_cancelled_call_leaves_the_other_calls_pending loses its link with the code of before, as idle, and keeps it now.

--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -6,6 +6,7 @@
 #include "turmericspar/base/log.h"
 
 #include <algorithm>
+#include <set>
 #include <unistd.h>
 #include <utility>
 
@@ -20,7 +21,7 @@
     bool unresponsive = false;
     std::uint64_t incarnation = 0;
     millis clockOffset{0}; ///< estimate of the other node's monotonic clock minus the own one; never too high, since messages take time
-    int pendingReplies = 0; ///< calls sent whose replies have not arrived
+    std::set<std::pair<std::uint64_t, std::uint32_t>> pendingReplies; ///< calls and attempts that were sent, neither answered nor cancelled
     millis openedAt;
     millis lastReceivedAt;
     millis helloSentAt;
@@ -41,7 +42,7 @@
     bool sentSinceReceived = false; ///< whether anything was sent since then, so that the link shows whether it is alive
 
     /// @return whether the other node owes a message: a reply, or the answer to a Hello that follows whatever was sent last.
-    bool awaitsMessage() const { return welcomed && (pendingReplies > 0 || unresponsive || sentSinceReceived); }
+    bool awaitsMessage() const { return welcomed && (!pendingReplies.empty() || unresponsive || sentSinceReceived); }
     bool send(const wire::LinkMessage &message);
 };
 
@@ -179,7 +180,7 @@
         wire::LinkMessage message;
         *message.mutable_request() = std::move(queued.request);
         if (target.send(message)) {
-            ++target.pendingReplies;
+            target.pendingReplies.emplace(call, attempt);
         } else {
             m_handlers.onUnsent(call, attempt);
         }
@@ -202,7 +203,7 @@
     auto &target = *found->second;
     std::erase_if(target.queued, [&](const auto &queued) { return queued.request.call() == cancel.call(); });
     if (target.welcomed) {
-        target.pendingReplies = std::max(0, target.pendingReplies - 1);
+        target.pendingReplies.erase({cancel.call(), cancel.attempt()});
         wire::LinkMessage message;
         *message.mutable_cancel() = cancel;
         target.send(message);
@@ -266,12 +267,13 @@
     for (auto &[node, target] : m_peers) {
         const bool welcomeOverdue = !target->welcomed && now - target->openedAt > m_options.welcomeTimeout;
         const bool silent = target->awaitsMessage() && now - target->lastReceivedAt > m_options.silenceTimeout;
-        const bool idle = target->pendingReplies == 0 && now - target->lastUsedAt > m_options.idleTimeout;
+        const bool idle = target->pendingReplies.empty() && now - target->lastUsedAt > m_options.idleTimeout;
         if (welcomeOverdue || silent || idle) {
             linksToClose.emplace_back(node, welcomeOverdue);
             if (silent) {
-                logEvent(
-                    log_level::info, "link_silent", {{"peer", node}, {"pending_replies", target->pendingReplies}, {"unconfirmed", target->unconfirmed.size()}});
+                logEvent(log_level::info,
+                         "link_silent",
+                         {{"peer", node}, {"pending_replies", target->pendingReplies.size()}, {"unconfirmed", target->unconfirmed.size()}});
             }
             for (auto &message : std::exchange(target->unconfirmed, {})) {
                 messagesToRepeat.emplace_back(node, std::move(message));
@@ -390,7 +392,7 @@
         break;
     }
     case wire::LinkMessage::kReply:
-        from.pendingReplies = std::max(0, from.pendingReplies - 1);
+        from.pendingReplies.erase({message.reply().call(), message.reply().attempt()});
         if (message.reply().reason() == static_cast<std::uint32_t>(refusal_reason::stale)) {
             // The node may have been restarted; its Welcome carries the current incarnation.
             sendHello(from);
--- a/packages/node/tests/link_test.cpp
+++ b/packages/node/tests/link_test.cpp
@@ -408,6 +408,35 @@
     }
 }
 
+// Guards against a silent link whose calls are waited for until their deadlines: a cancelled call and its reply counted twice.
+TEST(node_link, the_reply_to_a_cancelled_call_leaves_the_other_calls_pending)
+{
+    event_loop loop;
+    test_node from(loop, firstPort + 120, {oldKey}, [](link_options &options) {
+        options.useTls = false;
+        options.idleTimeout = {300};
+    });
+    test_node to(loop, firstPort + 121, {oldKey}, trustNetwork);
+    const auto node = endpoint{"127.0.0.1", firstPort + 121}.text();
+    for (const std::uint64_t id : {1, 2}) {
+        wire::CallRequest request;
+        request.set_call(id);
+        request.set_attempt(1);
+        request.set_method(id == 1 ? "PING" : "KEEP");
+        from.links->sendRequest(node, std::move(request), monotonicNow() + waitMax);
+    }
+    // The cancellation crosses the reply: the call is cancelled after it was sent, and answered all the same.
+    runUntil(loop, [&] { return to.requests > 0; });
+    wire::CallCancel cancel;
+    cancel.set_call(1);
+    cancel.set_attempt(1);
+    from.links->sendCancel(node, cancel);
+    runFor(loop, settleTime);
+    runFor(loop, settleTime);
+    EXPECT_EQ(from.answer, "PING");
+    EXPECT_EQ(from.linksLost, 0) << "the link of the call that still runs was taken for idle";
+}
+
 TEST(node_link, malformed_bytes_close_the_connection)
 {
     const std::vector<std::string> malformed{
