The time for a header does not bound the body behind it

Cause: one time for a whole message, to which the platform's time for headers was translated. Evidence: the_time_for_a_header_does_not_bound_its_body fails when the time is not set anew at the end of the header, and passes now.

--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -246,7 +246,7 @@
 void node_daemon::onConfigurationChanged()
 {
     const auto &limits = m_control.inForce().limits;
-    m_callers.setLimits({limits.headerBytes, limits.bodyBytes}, limits.messageTimeout, limits.idleTimeout);
+    m_callers.setLimits({limits.headerBytes, limits.bodyBytes}, limits.headerTimeout, limits.messageTimeout, limits.idleTimeout);
     m_calls.reconfigure();
 }
 
--- a/packages/base/include/turmericspar/base/http_server.h
+++ b/packages/base/include/turmericspar/base/http_server.h
@@ -51,7 +51,8 @@
 struct http_server_options
 {
     http_limits limits;
-    millis messageTimeout{10'000}; ///< from the first byte of a message to its last
+    millis headerTimeout{10'000}; ///< from the first byte of a message to the end of its header
+    millis messageTimeout{60'000}; ///< from the end of the header to the last byte of the body
     millis idleTimeout{75'000}; ///< between messages, and for a peer that does not read its response
     std::size_t connectionsMax = 4096;
     std::size_t pipelinedMax = 16; ///< concurrent requests of one connection; responses are sent in the order of the requests
@@ -73,7 +74,7 @@
     result<endpoint> listen(const endpoint &address);
 
     /// Changes limits and timeouts. The message limits apply to new connections only.
-    void setLimits(http_limits limits, millis messageTimeout, millis idleTimeout);
+    void setLimits(http_limits limits, millis headerTimeout, millis messageTimeout, millis idleTimeout);
 
     /// Closes idle connections now and others after their last response. New connections are still accepted, and closed the same way.
     void disableKeepAlive();
--- a/packages/base/src/http_server.cpp
+++ b/packages/base/src/http_server.cpp
@@ -147,13 +147,17 @@
             evbuffer_drain(input, evbuffer_get_length(input));
         }
         while (!m_lastRequestRead && !m_closing && m_pending.size() < m_server.m_options.pipelinedMax && evbuffer_get_length(input) > 0) {
+            const bool headerWasComplete = m_reader.headerComplete();
             if (!m_reader.started()) {
-                m_timer->restart(m_server.m_options.messageTimeout);
+                m_timer->restart(m_server.m_options.headerTimeout);
             }
             evbuffer_iovec extent;
             evbuffer_peek(input, -1, nullptr, &extent, 1);
             const auto consumed = m_reader.feed(static_cast<const char *>(extent.iov_base), extent.iov_len);
             evbuffer_drain(input, consumed);
+            if (!headerWasComplete && m_reader.headerComplete()) {
+                m_timer->restart(m_server.m_options.messageTimeout);
+            }
             if (m_reader.takeExpectContinue()) {
                 writeImmediately(m_bev, continueLine);
             }
@@ -235,9 +239,10 @@
     return m_listener.listen(address, "listen");
 }
 
-void http_server::setLimits(http_limits limits, millis messageTimeout, millis idleTimeout)
+void http_server::setLimits(http_limits limits, millis headerTimeout, millis messageTimeout, millis idleTimeout)
 {
     m_options.limits = limits;
+    m_options.headerTimeout = headerTimeout;
     m_options.messageTimeout = messageTimeout;
     m_options.idleTimeout = idleTimeout;
 }
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -337,6 +337,39 @@
 }
 
 // Guards against a server that keeps a connection for its idle time after the last response, because its peer leaves its own side open.
+// Guards against a long upload that is cut off as if its header were late.
+TEST(http_server, the_time_for_a_header_does_not_bound_its_body)
+{
+    event_loop loop;
+    http_server_options options;
+    options.headerTimeout = {200};
+    options.messageTimeout = {1500};
+    std::vector<std::string> bodies;
+    http_server server(loop, options, [&](const http_exchange_ptr &exchange) {
+        bodies.push_back(exchange->request().body);
+        exchange->respond({200, {}, {}});
+    });
+    const auto address = server.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(address);
+    sockaddr_storage storage;
+    const auto length = address->toSockaddr(storage);
+    const auto send = [&](const std::string &first, const std::string &rest, millis pause) {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(connect(descriptor, reinterpret_cast<sockaddr *>(&storage), length), 0);
+        EXPECT_GT(write(descriptor, first.data(), first.size()), 0);
+        const auto later = loop.after(pause, [&] { EXPECT_NE(::send(descriptor, rest.data(), rest.size(), MSG_NOSIGNAL), 0); });
+        const auto end = loop.after(pause + millis{200}, [&] { loop.quit(); });
+        loop.run();
+        close(descriptor);
+    };
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd", {600});
+    EXPECT_EQ(bodies, std::vector<std::string>{"abcd"}) << "a slow body has the time for messages";
+    send("POST / HTTP/1.1\r\nHost: h\r\n", "Content-Length: 1\r\n\r\na", {600});
+    EXPECT_EQ(bodies.size(), 1U) << "a slow header does not";
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd", {2000});
+    EXPECT_EQ(bodies.size(), 1U) << "nor has a body more";
+}
+
 TEST(http_server, does_not_wait_for_a_peer_that_keeps_its_side_open_after_the_last_response)
 {
     event_loop loop;
--- a/packages/policy/include/turmericspar/policy/configuration.h
+++ b/packages/policy/include/turmericspar/policy/configuration.h
@@ -59,7 +59,8 @@
 {
     std::size_t headerBytes = 32 * 1024; ///< of one request's header
     std::size_t bodyBytes = 16 * 1024 * 1024;
-    millis messageTimeout{10'000}; ///< from a request's first byte to its last
+    millis headerTimeout{10'000}; ///< from a request's first byte to the end of its header
+    millis messageTimeout{60'000}; ///< from the end of its header to the last byte of its body
     millis idleTimeout{75'000}; ///< of a connection that carries no request
 };
 
--- a/packages/policy/src/configuration.cpp
+++ b/packages/policy/src/configuration.cpp
@@ -197,11 +197,12 @@
 void readLimits(const json &value, caller_limits &limits, document_checker &check)
 {
     const std::string path = "/limits";
-    if (!check.object(value, path, {"header_bytes", "body_bytes", "message_timeout_ms", "idle_timeout_ms"})) {
+    if (!check.object(value, path, {"header_bytes", "body_bytes", "header_timeout_ms", "message_timeout_ms", "idle_timeout_ms"})) {
         return;
     }
     limits.headerBytes = static_cast<std::size_t>(check.number(value, path, "header_bytes", 1, bytesMax).value_or(static_cast<double>(limits.headerBytes)));
     limits.bodyBytes = static_cast<std::size_t>(check.number(value, path, "body_bytes", 0, bytesMax).value_or(static_cast<double>(limits.bodyBytes)));
+    limits.headerTimeout = readDuration(value, path, "header_timeout_ms", check).value_or(limits.headerTimeout);
     limits.messageTimeout = readDuration(value, path, "message_timeout_ms", check).value_or(limits.messageTimeout);
     limits.idleTimeout = readDuration(value, path, "idle_timeout_ms", check).value_or(limits.idleTimeout);
 }
