--- a/packages/base/include/turmericspar/base/http_client.h
+++ b/packages/base/include/turmericspar/base/http_client.h
@@ -43,6 +43,7 @@
     http_client &operator=(const http_client &) = delete;
 
     /// Starts to connect.
+    /// @param timeout for the connection, also while a request waits for it
     /// @param onChange called from a later loop iteration when the connection opens or closes, except if it closes during a request
     void connect(millis timeout, state_handler onChange);
 
@@ -88,7 +89,8 @@
     std::string m_unsentRequest;
     state_handler m_onChange;
     response_handler m_onResponse;
-    event_watcher_ptr m_timer;
+    event_watcher_ptr m_connectTimer;
+    event_watcher_ptr m_timer; ///< of the request in progress
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/packages/base/src/http_client.cpp
+++ b/packages/base/src/http_client.cpp
@@ -56,7 +56,7 @@
     bufferevent_setcb(m_bev, onRead, nullptr, onEvent, this);
     sockaddr_storage storage;
     const auto length = m_peer.toSockaddr(storage);
-    m_timer = m_loop.after(timeout, [this] { close(errc::timeout); });
+    m_connectTimer = m_loop.after(timeout, [this] { close(errc::timeout); });
     if (bufferevent_socket_connect(m_bev, reinterpret_cast<sockaddr *>(&storage), static_cast<int>(length)) != 0) {
         close(errc::connection_refused);
     }
@@ -162,10 +162,9 @@
         const int enabled = 1;
         setsockopt(bufferevent_getfd(m_bev), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
         bufferevent_enable(m_bev, EV_READ | EV_WRITE);
+        m_connectTimer.reset();
         if (busy()) {
             writeRequest();
-        } else {
-            m_timer.reset();
         }
         m_loop.defer([this, alive = m_alive] {
             if (*alive && m_onChange) {
@@ -191,6 +190,7 @@
 void http_client::close(errc reason)
 {
     m_state = state::closed;
+    m_connectTimer.reset();
     m_timer.reset();
     if (m_bev) {
         bufferevent_free(std::exchange(m_bev, nullptr));
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -370,6 +370,40 @@
     EXPECT_EQ(bodies.size(), 1U) << "nor has a body more";
 }
 
+// Guards against a call that waits until its deadline for a connection that can't be opened.
+TEST(http_client, the_time_to_connect_bounds_a_request_that_waits_for_the_connection)
+{
+    // The queue of this listener holds one connection, so that others are not established.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_storage storage;
+    auto length = endpoint{"127.0.0.1", 0}.toSockaddr(storage);
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&storage), length), 0);
+    ASSERT_EQ(listen(listener, 0), 0);
+    ASSERT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&storage), &length), 0);
+    std::vector<int> waiting;
+    for (int i = 0; i < 3; ++i) {
+        waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(waiting.back(), reinterpret_cast<sockaddr *>(&storage), length);
+    }
+    event_loop loop;
+    http_client client(loop, endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&storage)), http_limits{});
+    client.connect({200}, {});
+    http_outcome outcome;
+    const millis begin = monotonicNow();
+    client.send({}, {3000}, [&](http_outcome ended) {
+        outcome = std::move(ended);
+        loop.quit();
+    });
+    loop.run();
+    EXPECT_EQ(outcome.error, errc::timeout);
+    EXPECT_FALSE(outcome.sent) << "it is known not to have run";
+    EXPECT_LT((monotonicNow() - begin).count, 1500);
+    for (const int descriptor : waiting) {
+        close(descriptor);
+    }
+    close(listener);
+}
+
 TEST(http_server, does_not_wait_for_a_peer_that_keeps_its_side_open_after_the_last_response)
 {
     event_loop loop;
