--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -6,6 +6,7 @@
 #include "turmericspar/base/listener.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <csignal>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -383,7 +384,7 @@
     std::vector<int> waiting;
     for (int i = 0; i < 3; ++i) {
         waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(waiting.back(), reinterpret_cast<sockaddr *>(&storage), length);
+        EXPECT_TRUE(connect(waiting.back(), reinterpret_cast<sockaddr *>(&storage), length) == 0 || errno == EINPROGRESS);
     }
     event_loop loop;
     http_client client(loop, endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&storage)), http_limits{});
--- a/packages/node/tests/link_test.cpp
+++ b/packages/node/tests/link_test.cpp
@@ -392,13 +392,14 @@
         {ask, [&](node_link &links, const node_id &node) { links.sendOnceAsk(node, ask.once_ask()); }},
     };
     std::uint16_t port = firstPort + 110;
-    for (const auto &[message, send] : messages) {
+    for (const auto &entry : messages) {
+        const auto &message = entry.first;
         event_loop loop;
         test_node from(loop, port++, {oldKey}, trustNetwork);
         silent_peer to(port);
         const auto node = endpoint{"127.0.0.1", port++}.text();
         const auto poller = loop.every(millis{5}, [&] { to.poll(); });
-        send(*from.links, node);
+        entry.second(*from.links, node);
         runUntil(loop, [&] { return to.hasReceived(1, message); });
         EXPECT_TRUE(to.hasReceived(0, message)) << message.kind_case();
         EXPECT_TRUE(to.hasReceived(1, message)) << message.kind_case();
