A call that is refused late in a stop gives its grant of retries back

Found in reading: the call was entered in the account of its parent before it was refused, and never ended there, so that the parent's other calls had fewer retries left and it counted as having a call out. Change: both accounts are told.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -149,6 +149,8 @@
     }
     const bool madeForRunningCall = call.parent != 0 || call.inferredParent != 0;
     if (!takesRequest(m_stop, madeForRunningCall, call.context.deadline, now)) {
+        m_childCalls.childEnded(call.parent, id, 0, false, now);
+        m_parents.childEnded(call.inferredParent, now);
         refuseImmediately(exchange, description, refusal_reason::shutting_down, "the request was complete too late in the stop of this node");
         return;
     }
