Review: case 8, a backend that left is given work again by a heartbeat of its earlier run

Cause: a departure is noted for one run; a late heartbeat of an earlier run under the same id is taken by a node that has just started. Adds a case with a crash, a goodbye, a planned restart of the node and a late heartbeat.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -188,7 +188,7 @@
 # Upstreams
 
 class Upstream:
-    """An application backend. Its path's last part may tell how long a run takes: /prefix/MILLISECONDS/anything."""
+    """An application backend. A path may tell how long a run takes: /prefix/MILLISECONDS/anything. One with `poison` in it crashes the process."""
 
     def __init__(self, shape):
         self.shape = shape
@@ -207,7 +207,8 @@
         self.say('up')
         self.reading = asyncio.ensure_future(self.commands())
         while True:
-            await self.heartbeat()
+            if not self.shape.get('silent'):
+                await self.heartbeat()
             await asyncio.sleep(BEAT_S)
 
     async def commands(self):
@@ -272,6 +273,8 @@
                 writer.write(answer(503, common + [(PREFIX + 'Not-Executed', '1')]))
                 return True
             self.say('run', **about)
+            if 'poison' in target:
+                os._exit(1)
             try:
                 parts = target.strip('/').split('/')
                 seconds = float(parts[1]) / 1000 if len(parts) > 2 and parts[1].isdigit() else self.shape['work_ms'] / 1000
@@ -411,8 +414,9 @@
 
     async def start_upstream(self):
         self.runs += 1
+        self.born = int(time.time() * 1000)
         shape = dict(self.shape, id='i-%d-%s' % (self.runs, self.name), address='%s:%d' % (self.ip, self.ports[6]), service=self.service,
-                     zone=self.zone, control=self.control, born=int(time.time() * 1000))
+                     zone=self.zone, control=self.control, born=self.born)
         self.upstream = await asyncio.create_subprocess_exec(
             sys.executable, os.path.abspath(__file__), 'upstream', json.dumps(shape), stdin=subprocess.PIPE, stdout=subprocess.PIPE, limit=1 << 20)
         self.deployment.processes.append(self.upstream)
