--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -538,12 +538,13 @@
     """Runs a case. Returns 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     async def whole():
         deployment = Deployment(os.path.join(folder, 'record.txt'))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(case(deployment), limit_s)
             deployment.record('verdict', broken=broken)
             print('broken' if broken else 'held')
             return 1 if broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.record('could not run', error=repr(error))
             print('could not run:', repr(error))
             return 2
