A planned stop lasts as long as the deployment's grace period lets it

Cause: deploy/settings.yaml stated shutdown_wait_ms: 5200 for every deployment. Ruled out: a kill from outside and a node that takes itself for idle; its own log line says overdue=true with calls cut after 5.2 s.

Change: the platform fills its grace period into the command line (--grace-period), and the stop ends within it: 5.2 s of 6, 9.2 s of 10. Calls whose end is open are taken for 2.6 s at most, as before on the sites of 6 s, since a longer stop does not excuse later ones. shutdown_started logs the wait.

--- a/apps/turmericspard/main.cpp
+++ b/apps/turmericspard/main.cpp
@@ -14,14 +14,15 @@
 constexpr const char *usage = R"(turmericspard: the node of an overload control layer, one beside each upstream.
 
 Usage:
-  turmericspard --settings=FILE
-  turmericspard --check --settings=FILE
+  turmericspard --settings=FILE [--grace-period=SECONDS]
+  turmericspard --check --settings=FILE [--grace-period=SECONDS]
   turmericspard --help
 
 Options:
-  --settings=FILE  The settings (YAML); docs/operators/settings.md describes them.
-  --check          Only check the settings and the key files.
-  --help           This text.
+  --settings=FILE         The settings (YAML); docs/operators/settings.md describes them.
+  --grace-period=SECONDS  Time from SIGTERM until the process is killed; a stop then ends before that. Empty if it is not known.
+  --check                 Only check the settings and the key files.
+  --help                  This text.
 
 Exit codes: 0 ended gracefully, or the settings are valid; 1 could not start; 2 the settings have errors.
 )";
@@ -50,7 +51,10 @@
     const auto arguments = parseCommandLine(usage, argc, argv);
     std::vector<settings_error> errors;
     const auto path = arguments.at("--settings").asString();
-    const auto settings = readNodeSettings(path, errors);
+    auto settings = readNodeSettings(path, errors);
+    if (const auto &gracePeriod = arguments.at("--grace-period")) {
+        applyGracePeriod(gracePeriod.asString(), settings, errors);
+    }
     const auto keys = readKeys(settings, errors);
     for (const auto &error : errors) {
         std::cerr << path << ": " << error.text() << '\n';
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -289,7 +289,7 @@
     if (std::exchange(m_shuttingDown, true)) {
         return;
     }
-    logEvent(log_level::info, "shutdown_started", {});
+    logEvent(log_level::info, "shutdown_started", {{"wait_ms", m_settings.shutdownWait}});
     m_shutdownStartedAt = monotonicNow();
     m_calls.beginShutdown(stop_schedule::beginningAt(m_shutdownStartedAt, leaveDelay, m_settings.shutdownWait));
     m_callers.disableKeepAlive();
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -1,5 +1,10 @@
 #include "node_settings.h"
 
+#include "turmericspar/policy/stop_intake.h"
+
+#include <algorithm>
+#include <charconv>
+
 namespace turmericspar {
 
 namespace {
@@ -155,6 +160,20 @@
     return settings;
 }
 
+void applyGracePeriod(const std::string &text, node_settings &settings, std::vector<settings_error> &errors)
+{
+    if (text.empty()) {
+        return;
+    }
+    double seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (error != std::errc{} || end != text.data() + text.size() || !(seconds > 0 && seconds <= oneHourMs / oneSecond.count)) {
+        errors.push_back({0, "--grace-period", "expected a number of seconds, at most an hour"});
+        return;
+    }
+    settings.shutdownWait = std::min(settings.shutdownWait, shutdownWaitWithin(oneSecond * seconds));
+}
+
 key_ring readKeys(const node_settings &settings, std::vector<settings_error> &errors)
 {
     key_ring keys;
--- a/apps/turmericspard/node_settings.h
+++ b/apps/turmericspard/node_settings.h
@@ -62,6 +62,11 @@
 /// @param errors receives every error; the result is valid only if there is none
 node_settings readNodeSettings(const std::string &path, std::vector<settings_error> &errors);
 
+/// Shortens the wait of a stopping node so that it ends before the process is killed.
+/// @param text seconds from SIGTERM until the process is killed; empty if that is not known
+/// @param errors receives an error if the text is no such number
+void applyGracePeriod(const std::string &text, node_settings &settings, std::vector<settings_error> &errors);
+
 /// Reads the key files of the settings.
 /// @param errors receives the errors found in them
 key_ring readKeys(const node_settings &settings, std::vector<settings_error> &errors);
--- a/packages/policy/include/turmericspar/policy/stop_intake.h
+++ b/packages/policy/include/turmericspar/policy/stop_intake.h
@@ -8,6 +8,9 @@
 
 namespace turmericspar {
 
+/// @return how long a stopping node may run if its process is killed after the grace period: the rest is left for its last answers and its exit.
+millis shutdownWaitWithin(millis gracePeriod);
+
 /// The course of a planned stop. Before it begins, nothing limits what is taken.
 struct stop_schedule
 {
--- a/packages/policy/tests/stop_intake_test.cpp
+++ b/packages/policy/tests/stop_intake_test.cpp
@@ -33,4 +33,20 @@
     EXPECT_FALSE(takesRequest(schedule, true, farDeadline, begin + millis{5190}));
 }
 
+// Guards against a stopped node that ends long before it would be killed, and cuts off requests at which upstreams are at work.
+TEST(stop_intake, a_stop_uses_the_grace_period_of_its_deployment)
+{
+    EXPECT_EQ(shutdownWaitWithin({6000}), millis{5200});
+    EXPECT_EQ(shutdownWaitWithin({10'000}), millis{9200});
+    EXPECT_EQ(shutdownWaitWithin({1500}), millis{1300});
+}
+
+TEST(stop_intake, a_longer_stop_does_not_take_open_ended_calls_for_longer)
+{
+    const auto longer = stop_schedule::beginningAt(begin, {1000}, {9200});
+    EXPECT_TRUE(takesRequest(longer, true, farDeadline, begin + millis{2600}));
+    EXPECT_FALSE(takesRequest(longer, true, farDeadline, begin + millis{2601}));
+    EXPECT_TRUE(takesRequest(longer, true, begin + millis{9000}, begin + millis{2601}));
+}
+
 } // namespace
