Requests that wait when a stopped node ends are answered

Cause: when the time of the stop was over, the process ended with the calls that it waited for. Ruled out: a lost answer (none was given) and a serving node that forgets them (without the stop they are answered at their deadlines).

Change: at four fifths of the stop the entry node withdraws the calls that could outlast it. Serving nodes refuse those that have not started, wherever they wait, and leave the others alone; a message of its own, since older nodes would cancel running calls. What is left at the end is answered as unknown. Requests that wait as suspects are refused as well when their node drains, and cancelled when their caller leaves: they were left out of both.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -263,6 +263,17 @@
             }
             break;
         }
+        case dispatch_action::action_type::withdraw: {
+            wire::CallWithdrawal withdrawal;
+            withdrawal.set_call(action.id);
+            withdrawal.set_attempt(static_cast<std::uint32_t>(action.attempt));
+            if (action.node == m_self) {
+                onWithdrawal({}, withdrawal);
+            } else {
+                m_callbacks.sendWithdrawal(action.node, withdrawal);
+            }
+            break;
+        }
         }
     }
 }
@@ -492,6 +503,34 @@
     execute(abandoned);
 }
 
+void call_path::withdrawWaitingCalls()
+{
+    const millis now = monotonicNow();
+    std::vector<dispatch_action> actions;
+    m_entry.withdraw([&](const call_context &context) { return mustWithdraw(m_stop, context.deadline, now); }, actions);
+    execute(actions);
+}
+
+std::size_t call_path::answerRemainingCalls()
+{
+    std::vector<call_id> remaining;
+    for (const auto &[id, call] : m_entryCalls) {
+        remaining.push_back(id);
+    }
+    std::vector<dispatch_action> actions;
+    for (const auto id : remaining) {
+        m_entry.abandon(id, monotonicNow(), actions);
+        dispatch_action answer;
+        answer.type = dispatch_action::action_type::finish;
+        answer.id = id;
+        answer.outcome = call_outcome::unknown;
+        answer.reason = refusal_reason::shutting_down;
+        actions.push_back(std::move(answer));
+    }
+    execute(actions);
+    return remaining.size();
+}
+
 /// @param retryIn the time after which the service may have room for the call; 0 if that is not known
 http_response call_path::refusalResponse(refusal_reason reason, call_outcome outcome, const std::string &detail, millis retryIn)
 {
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -136,6 +136,9 @@
     std::vector<admission_action> actions;
     m_serving.setDraining(draining, monotonicNow(), actions);
     execute(actions);
+    if (draining) {
+        refuseWaitingSuspects(refusal_reason::draining);
+    }
 }
 
 void call_path::setOperatorDrain(bool draining)
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -39,6 +39,7 @@
     std::function<bool()> configurationUsable; ///< whether this node may serve by the version in force
     std::function<void(const node_id &, wire::CallRequest, millis deadline)> sendRequest;
     std::function<void(const node_id &, const wire::CallCancel &)> sendCancel;
+    std::function<void(const node_id &, const wire::CallWithdrawal &)> sendWithdrawal;
     std::function<void(const connection_id &, wire::CallReply &&)> sendReply;
     std::function<void(const std::vector<suspicion> &)> broadcastSuspicions; ///< to the nodes of the same service
     std::function<void()> onReadinessChanged; ///< the upstream stopped or resumed taking new work because of what it stated in an answer
@@ -100,6 +101,8 @@
     /// @param current whether the request is meant for the present run of this node and arrived in time
     void onRequest(const connection_id &from, wire::CallRequest &request, bool current);
     void onCancel(const connection_id &from, const wire::CallCancel &cancel);
+    /// Refuses a call that has not been started, at the request of the node where it entered.
+    void onWithdrawal(const connection_id &from, const wire::CallWithdrawal &withdrawal);
     /// Cancels the calls whose origin can no longer be answered because its link is closed.
     void onOriginDisconnected(const connection_id &from);
     void onReply(const node_id &from, wire::CallReply &reply);
@@ -120,6 +123,11 @@
     void setOperatorDrain(bool draining);
     /// Stops giving new work to the upstream; requests of callers are still sent to other nodes as long as the schedule allows.
     void beginShutdown(const stop_schedule &schedule);
+    /// Takes back the calls that wait for their start at any node and that the end of this process could leave without an answer.
+    void withdrawWaitingCalls();
+    /// Answers every call that is still in progress, since this process ends: whether it has run is unknown.
+    /// @return the number of these calls
+    std::size_t answerRemainingCalls();
     /// @return whether the upstream runs calls, for which it may make calls of its own.
     bool upstreamBusy() const { return !m_upstreamCalls.empty(); }
     /// @return whether no call is in progress.
@@ -206,6 +214,8 @@
     void endUpstreamCall(call_id id, wire::CallReply reply, key_update keyUpdate);
     void refuseUpstreamCall(call_id id, refusal_reason reason, millis roomIn = {0});
     void cancelUpstreamCall(call_id id, refusal_reason reason);
+    void refuseWaitingCall(call_id id, refusal_reason reason);
+    void refuseWaitingSuspects(refusal_reason reason);
     void handleSilentConnections();
     void resizeConnectionPool();
     void replyToOrigin(const call_origin &origin, wire::CallReply &&reply);
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -6,6 +6,7 @@
 #include "turmericspar/base/log.h"
 #include "turmericspar/node/wire.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -498,11 +499,44 @@
         m_upstreamCallsByOrigin.erase(found);
         return;
     }
+    if (call.startedAt.count > 0) {
+        std::vector<admission_action> actions;
+        m_serving.cancel(id, refusal_reason::cancelled, monotonicNow(), actions);
+        execute(actions);
+    } else {
+        refuseWaitingCall(id, refusal_reason::cancelled);
+    }
+}
+
+void call_path::onWithdrawal(const connection_id &from, const wire::CallWithdrawal &withdrawal)
+{
+    const auto found = m_upstreamCallsByOrigin.find({from, withdrawal.call()});
+    if (found != m_upstreamCallsByOrigin.end() && m_upstreamCalls.at(found->second).startedAt.count == 0) {
+        refuseWaitingCall(found->second, refusal_reason::shutting_down);
+    }
+}
+
+/// Refuses a call that has not been started, wherever it waits.
+void call_path::refuseWaitingCall(call_id id, refusal_reason reason)
+{
+    const auto suspect = std::find(m_waitingSuspects.begin(), m_waitingSuspects.end(), id);
+    if (suspect != m_waitingSuspects.end()) {
+        m_waitingSuspects.erase(suspect);
+        refuseUpstreamCall(id, reason);
+        return;
+    }
     std::vector<admission_action> actions;
-    m_serving.cancel(id, refusal_reason::cancelled, monotonicNow(), actions);
+    m_serving.cancel(id, reason, monotonicNow(), actions);
     execute(actions);
 }
 
+void call_path::refuseWaitingSuspects(refusal_reason reason)
+{
+    for (const auto id : std::exchange(m_waitingSuspects, {})) {
+        refuseUpstreamCall(id, reason);
+    }
+}
+
 void call_path::onOriginDisconnected(const connection_id &from)
 {
     std::vector<wire::CallCancel> cancels;
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -14,6 +14,8 @@
 /// How long a leaving node takes requests of callers after it has announced its departure: every other node has learned of it by then, and what was
 /// taken has the rest of the stop to be answered. Calls that its upstream makes for running ones are taken longer (see takesRequest()).
 constexpr millis leaveDelay{1000};
+/// Time in which the answers that are given at the end of a stop are written.
+constexpr millis lastAnswersTime{300};
 constexpr std::size_t seedBytes = sizeof(std::uint64_t);
 
 std::uint64_t randomSeed()
@@ -84,6 +86,7 @@
         m_links.sendRequest(node, std::move(request), deadline);
     };
     callbacks.sendCancel = [this](const node_id &node, const wire::CallCancel &cancel) { m_links.sendCancel(node, cancel); };
+    callbacks.sendWithdrawal = [this](const node_id &node, const wire::CallWithdrawal &withdrawal) { m_links.sendWithdrawal(node, withdrawal); };
     callbacks.sendReply = [this](const connection_id &to, wire::CallReply &&reply) { m_links.reply(to, std::move(reply)); };
     callbacks.broadcastSuspicions = [this](const std::vector<suspicion> &suspicions) { broadcastSuspicions(suspicions); };
     callbacks.onReadinessChanged = [this] { m_control.setSelf(m_calls.service(), m_calls.ready()); };
@@ -97,6 +100,7 @@
     link_handlers handlers;
     handlers.onRequest = [this](const connection_id &from, wire::CallRequest &request) { m_calls.onRequest(from, request, m_links.isCurrent(request)); };
     handlers.onCancel = [this](const connection_id &from, const wire::CallCancel &cancel) { m_calls.onCancel(from, cancel); };
+    handlers.onWithdrawal = [this](const connection_id &from, const wire::CallWithdrawal &withdrawal) { m_calls.onWithdrawal(from, withdrawal); };
     handlers.onReply = [this](const node_id &from, wire::CallReply &reply) { m_calls.onReply(from, reply); };
     handlers.onUnsent = [this](std::uint64_t call, std::uint32_t attempt) { m_calls.onRequestUnsent(call, attempt); };
     handlers.onLinkLost = [this](const node_id &node) { m_calls.onNodeLost(node); };
@@ -303,19 +307,21 @@
     if (elapsed < leaveDelay) {
         return;
     }
-    if (!m_calls.upstreamBusy()) {
+    m_calls.withdrawWaitingCalls();
+    const bool overdue = elapsed > m_settings.shutdownWait;
+    if (overdue) {
+        m_callsCut += m_calls.answerRemainingCalls();
+    }
+    if (overdue || !m_calls.upstreamBusy()) {
         m_callers.stopAccepting();
     }
-    const bool overdue = elapsed > m_settings.shutdownWait;
-    if (!overdue && (!m_calls.idle() || m_callers.connectionCount() > 0)) {
+    const bool finished = m_callers.connectionCount() == 0 && (overdue || m_calls.idle());
+    if (!finished && elapsed <= m_settings.shutdownWait + lastAnswersTime) {
         return;
     }
     logEvent(overdue ? log_level::error : log_level::info,
              "shutdown_done",
-             {{"overdue", overdue ? "true" : "false"},
-              {"calls_cut", m_calls.idle() ? 0 : 1},
-              {"callers_connected", m_callers.connectionCount()},
-              {"span_ms", elapsed}});
+             {{"overdue", overdue ? "true" : "false"}, {"calls_cut", m_callsCut}, {"callers_connected", m_callers.connectionCount()}, {"span_ms", elapsed}});
     m_loop.quit();
 }
 
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -58,6 +58,7 @@
     std::map<node_id, std::uint64_t> m_toldSuspicions; ///< incarnation of each live member of the same service that was told all suspicions
     bool m_shuttingDown = false;
     millis m_shutdownStartedAt{0};
+    std::size_t m_callsCut = 0; ///< calls that were in progress when the time of the stop was over
     std::vector<event_watcher_ptr> m_watchers;
 };
 
--- a/bench/signature/main.cpp
+++ b/bench/signature/main.cpp
@@ -178,6 +178,8 @@
             case dispatch_action::action_type::finish:
                 m_answered += action.outcome == call_outcome::ran ? 1 : 0;
                 break;
+            case dispatch_action::action_type::withdraw:
+                break;
             }
             act(node, served);
         }
--- a/packages/node/include/turmericspar/node/node_link.h
+++ b/packages/node/include/turmericspar/node/node_link.h
@@ -23,6 +23,7 @@
 
 namespace wire {
 class CallCancel;
+class CallWithdrawal;
 class CallReply;
 class CallRequest;
 class ConfigPull;
@@ -46,6 +47,7 @@
 {
     std::function<void(const connection_id &, wire::CallRequest &)> onRequest;
     std::function<void(const connection_id &, const wire::CallCancel &)> onCancel;
+    std::function<void(const connection_id &, const wire::CallWithdrawal &)> onWithdrawal;
     /// An accepted connection was closed: its node no longer waits for replies to requests that it sent on it.
     std::function<void(const connection_id &)> onAcceptedClosed;
     std::function<void(const node_id &, wire::CallReply &)> onReply;
@@ -98,6 +100,8 @@
     /// Sends a call. Sets `incarnation`, `expires_at_ms` and `deadline_in_ms` of the request.
     void sendRequest(const node_id &node, wire::CallRequest request, millis deadline);
     void sendCancel(const node_id &node, const wire::CallCancel &cancel);
+    /// Takes a call back unless the upstream has started it. A call that is still queued for sending is reported with `onUnsent`.
+    void sendWithdrawal(const node_id &node, const wire::CallWithdrawal &withdrawal);
     void pullConfig(const node_id &node, std::uint64_t have, std::uint64_t chain);
     void pullMembers(const node_id &node);
     /// Requests the wall-clock time of a node, which is reported through `onPeerClock`. Connects to the node if there is no link.
--- a/packages/node/src/node_link.cpp
+++ b/packages/node/src/node_link.cpp
@@ -210,6 +210,23 @@
     }
 }
 
+void node_link::sendWithdrawal(const node_id &node, const wire::CallWithdrawal &withdrawal)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end()) {
+        return;
+    }
+    auto &target = *found->second;
+    const auto isWithdrawn = [&](const auto &queued) { return queued.request.call() == withdrawal.call(); };
+    if (std::erase_if(target.queued, isWithdrawn) > 0) {
+        m_handlers.onUnsent(withdrawal.call(), withdrawal.attempt());
+    } else if (target.welcomed) {
+        wire::LinkMessage message;
+        *message.mutable_withdrawal() = withdrawal;
+        target.send(message);
+    }
+}
+
 void node_link::pullConfig(const node_id &node, std::uint64_t have, std::uint64_t chain)
 {
     wire::LinkMessage message;
@@ -437,6 +454,9 @@
     case wire::LinkMessage::kCancel:
         m_handlers.onCancel(from, message.cancel());
         break;
+    case wire::LinkMessage::kWithdrawal:
+        m_handlers.onWithdrawal(from, message.withdrawal());
+        break;
     case wire::LinkMessage::kConfigPull:
         m_handlers.onConfigPull(from, message.config_pull());
         break;
--- a/packages/node/tests/link_test.cpp
+++ b/packages/node/tests/link_test.cpp
@@ -54,6 +54,7 @@
         handlers.onLinkLost = [this](const node_id &) { ++linksLost; };
         handlers.onUnresponsive = [this](const node_id &, bool unresponsive) { unresponsiveEvents.push_back(unresponsive); };
         handlers.onCancel = [](const connection_id &, const wire::CallCancel &) {};
+        handlers.onWithdrawal = [](const connection_id &, const wire::CallWithdrawal &) {};
         handlers.onAcceptedClosed = [this](const connection_id &) { ++acceptedClosed; };
         handlers.onConfigPull = [](const connection_id &, const wire::ConfigPull &) {};
         handlers.onConfigPush = [](const wire::ConfigPush &) {};
--- a/packages/policy/include/turmericspar/policy/call_dispatcher.h
+++ b/packages/policy/include/turmericspar/policy/call_dispatcher.h
@@ -8,6 +8,7 @@
 #include "turmericspar/policy/shed_level.h"
 #include "turmericspar/policy/token_bucket.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,11 +25,12 @@
         forward, ///< send it to a serving node
         cancel, ///< cancel it at the serving node
         finish, ///< answer the caller
+        withdraw, ///< take it back from the serving node unless it has been started
     };
     action_type type = action_type::forward;
     call_id id = 0;
     int attempt = 0;
-    node_id node; ///< for forward and cancel
+    node_id node; ///< for forward, cancel and withdraw
     int retries = 0; ///< for forward: granted to the call and all calls below it
     call_outcome outcome = call_outcome::not_run; ///< for finish
     refusal_reason reason = refusal_reason::none; ///< for finish
@@ -66,6 +68,9 @@
     void nodeLost(const node_id &node, millis now, std::vector<dispatch_action> &actions);
     /// Cancels a call whose caller has disconnected.
     void abandon(call_id id, millis now, std::vector<dispatch_action> &actions);
+    /// Takes back calls from their serving nodes unless they have been started. None of them is sent to another node.
+    /// @param which selects the calls
+    void withdraw(const std::function<bool(const call_context &)> &which, std::vector<dispatch_action> &actions);
     /// Finishes the calls whose deadline has passed.
     void tick(millis now, std::vector<dispatch_action> &actions);
 
@@ -87,6 +92,7 @@
         int retriesUsed = 0;
         int retriesGranted = 0; ///< to the present attempt
         bool mayHaveRun = false; ///< whether an earlier attempt may have run
+        bool withdrawn = false; ///< whether no further attempt is made
         node_id node;
         millis sentAt;
         millis retryIn{0}; ///< see dispatch_action
--- a/packages/policy/include/turmericspar/policy/stop_intake.h
+++ b/packages/policy/include/turmericspar/policy/stop_intake.h
@@ -1,5 +1,5 @@
 /// @file stop_intake.h
-/// Decides which requests a node still takes during its planned stop.
+/// Decides which requests a node still takes during its planned stop, and which of them it gives back before its process ends.
 #pragma once
 
 #include "turmericspar/base/clock.h"
@@ -18,6 +18,7 @@
 
     millis intakeEndsAt = never; ///< after which only calls made for running requests are taken
     millis openEndEndsAt = never; ///< after which these are taken only if they end before the process does, whatever happens
+    millis startsEndAt = never; ///< after which calls that wait for their start are withdrawn
     millis endsAt = never; ///< when the process exits, even if calls are still running
 
     /// @return the schedule of a stop that begins now.
@@ -32,4 +33,8 @@
 /// @param deadline after which it is answered in any case
 bool takesRequest(const stop_schedule &schedule, bool madeForRunningCall, millis deadline, millis now);
 
+/// @return whether a call is withdrawn if no upstream has started it: if it waited on, the end of the process could leave its caller without an answer.
+/// @param deadline after which it is answered in any case
+bool mustWithdraw(const stop_schedule &schedule, millis deadline, millis now);
+
 } // namespace turmericspar
--- a/packages/policy/src/call_dispatcher.cpp
+++ b/packages/policy/src/call_dispatcher.cpp
@@ -94,7 +94,7 @@
 bool call_dispatcher::mayReroute(const pending_call &call, const attempt_result &result, millis now)
 {
     const bool rateLimited = result.roomIn.count > 0;
-    if (result.outcome != call_outcome::not_run || call.reroutes >= (rateLimited ? m_tuning.reroutesForRoom : m_tuning.reroutes)) {
+    if (call.withdrawn || result.outcome != call_outcome::not_run || call.reroutes >= (rateLimited ? m_tuning.reroutesForRoom : m_tuning.reroutes)) {
         return false;
     }
     switch (result.reason) {
@@ -123,7 +123,7 @@
 bool call_dispatcher::mayRetry(pending_call &call, const attempt_result &result, millis now)
 {
     const bool failed = result.outcome == call_outcome::unknown || result.serverError;
-    if (!failed || call.context.intent == call_intent::once) {
+    if (!failed || call.withdrawn || call.context.intent == call_intent::once) {
         return false;
     }
     const bool budgetLeft = call.retriesUsed < call.context.retries;
@@ -235,6 +235,22 @@
     m_calls.erase(found);
 }
 
+void call_dispatcher::withdraw(const std::function<bool(const call_context &)> &which, std::vector<dispatch_action> &actions)
+{
+    for (auto &[id, call] : m_calls) {
+        if (call.withdrawn || !which(call.context)) {
+            continue;
+        }
+        call.withdrawn = true;
+        dispatch_action action;
+        action.type = dispatch_action::action_type::withdraw;
+        action.id = id;
+        action.attempt = call.attempt;
+        action.node = call.node;
+        actions.push_back(std::move(action));
+    }
+}
+
 std::optional<millis> call_dispatcher::nextDeadline() const
 {
     return m_deadlines.empty() ? std::nullopt : std::optional<millis>(m_deadlines.begin()->first);
--- a/packages/policy/src/stop_intake.cpp
+++ b/packages/policy/src/stop_intake.cpp
@@ -15,6 +15,9 @@
 constexpr double openEndShare = 0.5;
 /// Upper bound of that part of the stop: the longer a process runs on, the less reason there is to take calls that it may cut off.
 constexpr millis openEndMax{2600};
+/// Share of the stop after which a call that waits for its start is given back to its caller: it would probably be cut off while it runs, and the
+/// caller has time left to send it to another node.
+constexpr double startShare = 0.8;
 
 /// @return whether a call could still be running at the end of the process.
 bool mayOutlast(const stop_schedule &schedule, millis deadline)
@@ -31,7 +34,7 @@
 
 stop_schedule stop_schedule::beginningAt(millis now, millis intakeSpan, millis span)
 {
-    return {now + intakeSpan, now + std::min(span * openEndShare, openEndMax), now + span};
+    return {now + intakeSpan, now + std::min(span * openEndShare, openEndMax), now + span * startShare, now + span};
 }
 
 bool takesRequest(const stop_schedule &schedule, bool madeForRunningCall, millis deadline, millis now)
@@ -42,4 +45,9 @@
     return madeForRunningCall && (now <= schedule.openEndEndsAt || !mayOutlast(schedule, deadline));
 }
 
+bool mustWithdraw(const stop_schedule &schedule, millis deadline, millis now)
+{
+    return now > schedule.startsEndAt && mayOutlast(schedule, deadline);
+}
+
 } // namespace turmericspar
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -128,6 +128,39 @@
     EXPECT_EQ(reply(1, draining).front().type, dispatch_action::action_type::forward);
 }
 
+TEST_F(call_dispatcher_test, withdrawn_calls_are_sent_nowhere_else)
+{
+    submit();
+    const auto withdraw = [&] {
+        std::vector<dispatch_action> actions;
+        dispatcher.withdraw([](const call_context &) { return true; }, actions);
+        return actions;
+    };
+    const auto actions = withdraw();
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(actions[0].type, dispatch_action::action_type::withdraw);
+    EXPECT_TRUE(withdraw().empty()) << "once for each call";
+
+    attempt_result refused;
+    refused.outcome = call_outcome::not_run;
+    refused.reason = refusal_reason::shutting_down;
+    const auto end = reply(1, refused);
+    ASSERT_EQ(end.size(), 1U);
+    EXPECT_EQ(end[0].type, dispatch_action::action_type::finish);
+    EXPECT_EQ(end[0].outcome, call_outcome::not_run);
+}
+
+TEST_F(call_dispatcher_test, a_withdrawn_call_whose_attempt_fails_is_not_retried)
+{
+    submit();
+    std::vector<dispatch_action> actions;
+    dispatcher.withdraw([](const call_context &) { return true; }, actions);
+    const auto end = reply(1, {});
+    ASSERT_EQ(end.size(), 1U);
+    EXPECT_EQ(end[0].type, dispatch_action::action_type::finish);
+    EXPECT_EQ(end[0].outcome, call_outcome::unknown);
+}
+
 TEST_F(call_dispatcher_test, does_not_reroute_new_requests_on_overload)
 {
     submit();
--- a/packages/policy/tests/stop_intake_test.cpp
+++ b/packages/policy/tests/stop_intake_test.cpp
@@ -49,4 +49,14 @@
     EXPECT_TRUE(takesRequest(longer, true, begin + millis{9000}, begin + millis{2601}));
 }
 
+// Guards against a call that still waits for its start when the process ends, so that its caller gets no answer.
+TEST(stop_intake, calls_that_wait_are_given_back_while_their_callers_have_time_left)
+{
+    EXPECT_FALSE(mustWithdraw({}, farDeadline, begin));
+    EXPECT_FALSE(mustWithdraw(schedule, farDeadline, begin + millis{4160}));
+    EXPECT_TRUE(mustWithdraw(schedule, farDeadline, begin + millis{4161}));
+    EXPECT_FALSE(mustWithdraw(schedule, begin + millis{5100}, begin + millis{4161})) << "it is answered at its deadline";
+    EXPECT_TRUE(mustWithdraw(schedule, begin + millis{5101}, begin + millis{4161}));
+}
+
 } // namespace
