The grace period comes through the environment

An environment variable is filled in by the platform alike, and is simply absent where nobody fills it in.

A value that is no number is still a mistake in the settings (exit code 2).

--- a/apps/turmericspard/main.cpp
+++ b/apps/turmericspard/main.cpp
@@ -5,6 +5,7 @@
 #include "turmericspar/base/command_line.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -14,15 +15,17 @@
 constexpr const char *usage = R"(turmericspard: the node of an overload control layer, one beside each upstream.
 
 Usage:
-  turmericspard --settings=FILE [--grace-period=SECONDS]
-  turmericspard --check --settings=FILE [--grace-period=SECONDS]
+  turmericspard --settings=FILE
+  turmericspard --check --settings=FILE
   turmericspard --help
 
 Options:
-  --settings=FILE         The settings (YAML); docs/operators/settings.md describes them.
-  --grace-period=SECONDS  Time from SIGTERM until the process is killed; a stop then ends before that. Empty if it is not known.
-  --check                 Only check the settings and the key files.
-  --help                  This text.
+  --settings=FILE  The settings (YAML); docs/operators/settings.md describes them.
+  --check          Only check the settings and the key files.
+  --help           This text.
+
+Environment:
+  TURMERICSPAR_GRACE_PERIOD  Seconds from SIGTERM until the process is killed; a stop then ends before that. Empty or unset if it is not known.
 
 Exit codes: 0 ended gracefully, or the settings are valid; 1 could not start; 2 the settings have errors.
 )";
@@ -52,8 +55,8 @@
     std::vector<settings_error> errors;
     const auto path = arguments.at("--settings").asString();
     auto settings = readNodeSettings(path, errors);
-    if (const auto &gracePeriod = arguments.at("--grace-period")) {
-        applyGracePeriod(gracePeriod.asString(), settings, errors);
+    if (const char *gracePeriod = std::getenv(gracePeriodVariable)) {
+        applyGracePeriod(gracePeriod, settings, errors);
     }
     const auto keys = readKeys(settings, errors);
     for (const auto &error : errors) {
--- a/apps/turmericspard/node_settings.cpp
+++ b/apps/turmericspard/node_settings.cpp
@@ -168,7 +168,7 @@
     double seconds = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
     if (error != std::errc{} || end != text.data() + text.size() || !(seconds > 0 && seconds <= oneHourMs / oneSecond.count)) {
-        errors.push_back({0, "--grace-period", "expected a number of seconds, at most an hour"});
+        errors.push_back({0, gracePeriodVariable, "expected a number of seconds, at most an hour"});
         return;
     }
     settings.shutdownWait = std::min(settings.shutdownWait, shutdownWaitWithin(oneSecond * seconds));
--- a/apps/turmericspard/node_settings.h
+++ b/apps/turmericspard/node_settings.h
@@ -62,6 +62,9 @@
 /// @param errors receives every error; the result is valid only if there is none
 node_settings readNodeSettings(const std::string &path, std::vector<settings_error> &errors);
 
+/// Environment variable with the time from SIGTERM until the process is killed, in seconds.
+inline constexpr const char *gracePeriodVariable = "TURMERICSPAR_GRACE_PERIOD";
+
 /// Shortens the wait of a stopping node so that it ends before the process is killed.
 /// @param text seconds from SIGTERM until the process is killed; empty if that is not known
 /// @param errors receives an error if the text is no such number
