Requests that crash upstreams stay refused when all nodes that know them end

Cause: convictions were known to the nodes of the service alone.

Change: a conviction is noted in the store under a lease that ends with it, kept there by all nodes of the service, and read by each node at its start. A refusal carries the conviction, so that the node where the request entered refuses it itself and tells it to nodes of the service that start anew. Digests cover the service.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -3,6 +3,7 @@
 #include "call_path.h"
 
 #include "node.pb.h"
+#include "turmericspar/base/log.h"
 #include "turmericspar/base/problem.h"
 #include "turmericspar/node/wire.h"
 
@@ -41,7 +42,7 @@
         refuseImmediately(exchange, description, refusal_reason::unconfigured, "the latest configuration is not known yet");
     } else if (error) {
         refuseImmediately(exchange, description, error->reason, error->detail);
-    } else if (m_suspects.level(digestOf(exchange->request()), monotonicNow()) == suspicion_level::convicted) {
+    } else if (m_suspects.level(digestOf(description.service, exchange->request()), monotonicNow()) == suspicion_level::convicted) {
         refuseImmediately(exchange, description, refusal_reason::suspect, "upstreams crashed when they ran this request");
     } else if (!isKnownService(description.service)) {
         refuseImmediately(exchange, description, refusal_reason::unknown_service, "no upstream ever announced this service");
@@ -347,6 +348,21 @@
     }
 }
 
+/// Records that nodes of a service refuse a request because it crashes upstreams. If they end at once, this node is one of those that still know it.
+void call_path::recordConviction(const node_id &from, const std::string &service, const wire::CallReply &reply)
+{
+    if (from == m_self || !reply.has_conviction()) {
+        return;
+    }
+    const millis now = monotonicNow();
+    const auto reported = fromWire(reply.conviction(), now);
+    m_suspects.merge(reported, now);
+    std::erase_if(m_refusedElsewhere, [&](const auto &item) { return m_suspects.level(item.first, now) != suspicion_level::convicted; });
+    if (service != m_service && m_suspects.conviction(reported.digest, now) && m_refusedElsewhere.emplace(reported.digest, service).second) {
+        logEvent(log_level::info, "conviction_learned", {{"digest", reported.digest}, {"service", service}, {"peer", from}});
+    }
+}
+
 void call_path::onReply(const node_id &from, wire::CallReply &reply)
 {
     recordCondition(from, reply);
@@ -354,6 +370,7 @@
     if (found == m_entryCalls.end()) {
         return;
     }
+    recordConviction(from, found->second.service, reply);
     const bool valid = reply.outcome() < outcomeNames.names.size() && reply.reason() < refusalNames.names.size();
     if (!valid) {
         return;
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -25,9 +25,9 @@
 
 } // namespace
 
-request_digest digestOf(const http_request &request)
+request_digest digestOf(const std::string &service, const http_request &request)
 {
-    return stableHash(request.body, stableHash(request.method + " " + request.target));
+    return stableHash(request.body, stableHash(service + "\n" + request.method + " " + request.target));
 }
 
 call_path::call_path(event_loop &loop,
@@ -160,6 +160,22 @@
     scheduleTick();
 }
 
+std::vector<suspicion> call_path::activeSuspicions(const std::string &service) const
+{
+    const millis now = monotonicNow();
+    if (service == m_service) {
+        return m_suspects.active(now);
+    }
+    std::vector<suspicion> entries;
+    for (const auto &[digest, refusingService] : m_refusedElsewhere) {
+        const auto conviction = m_suspects.conviction(digest, now);
+        if (conviction && refusingService == service) {
+            entries.push_back(*conviction);
+        }
+    }
+    return entries;
+}
+
 void call_path::reconfigure()
 {
     const auto readyNodes = std::max<std::size_t>(m_routes.readyCount(m_service), 1);
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -64,8 +64,8 @@
     bool draining = false;
 };
 
-/// @return a hash of the method, target and body of a request, which is the same for every copy of it.
-request_digest digestOf(const http_request &request);
+/// @return a hash of the service, method, target and body of a request, which is the same for every copy of it.
+request_digest digestOf(const std::string &service, const http_request &request);
 
 /// @return whether a status reports a failure of the upstream (500 and above).
 bool isServerError(std::uint32_t status);
@@ -87,8 +87,11 @@
     load_balancer &routes() { return m_routes; }
     /// Adds a suspicion against a request that another node reported.
     void addRemoteSuspicion(const suspicion &reported);
-    /// @return the suspicions that hold, for a node that knows none of them.
-    std::vector<suspicion> activeSuspicions() const { return m_suspects.active(monotonicNow()); }
+    /// @return the suspicions that hold, for a node of a service that knows none of them: all for the service of this node's upstream, for another
+    /// one the convictions by which its nodes have refused requests that entered here.
+    std::vector<suspicion> activeSuspicions(const std::string &service) const;
+    /// @return when a conviction no longer holds.
+    millis expiryOf(const suspicion &conviction) const { return m_suspects.expiry(conviction); }
     once_guard &onceGuard() { return m_once; }
     const once_guard &onceGuard() const { return m_once; }
     call_metrics &metrics() { return m_metrics; }
@@ -211,6 +214,7 @@
     void logRateLimit(std::optional<double> previous, std::string_view source) const;
     void setLeaving(std::string_view source);
     void recordCondition(const node_id &from, const wire::CallReply &reply);
+    void recordConviction(const node_id &from, const std::string &service, const wire::CallReply &reply);
     void endUpstreamCall(call_id id, wire::CallReply reply, key_update keyUpdate);
     void refuseUpstreamCall(call_id id, refusal_reason reason, millis roomIn = {0});
     void cancelUpstreamCall(call_id id, refusal_reason reason);
@@ -255,6 +259,7 @@
     upstream_pool m_pool;
     silence_detector m_silence;
     suspects m_suspects;
+    std::unordered_map<request_digest, std::string> m_refusedElsewhere; ///< service of each request that nodes of another service refused as convicted
     std::deque<call_id> m_waitingSuspects; ///< suspects that are not yet offered to the upstream
     call_id m_activeSuspect = 0; ///< the only suspect that is queued or running at the upstream; 0 if there is none
     call_id m_nextCallId = 1;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -66,7 +66,7 @@
 {
     const call_id id = m_nextCallId++;
     setField(request.fields, m_profile.calls.callerService, callerService);
-    const auto digest = digestOf(request);
+    const auto digest = digestOf(m_service, request);
     const auto suspicionLevel = m_settings.mode == policy_mode::full ? m_suspects.level(digest, monotonicNow()) : suspicion_level::none;
     upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}};
     m_upstreamCallsByOrigin[{call.origin.from, call.origin.call}] = id;
@@ -451,6 +451,9 @@
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
     reply.set_reason(static_cast<std::uint32_t>(reason));
     reply.set_room_in_ms(roomIn.count);
+    if (const auto conviction = m_suspects.conviction(call.digest, monotonicNow()); conviction && reason == refusal_reason::suspect) {
+        toWire(*conviction, monotonicNow(), *reply.mutable_conviction());
+    }
     m_rateLimitedCount += roomIn.count > 0 ? 1 : 0;
     addLoadReport(call.context.klass, reply);
     recordUpstreamCall(call, reply);
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -90,6 +90,7 @@
         }
         m_seedRegistry = std::make_unique<seed_registry>(
             loop, *m_store, settings.platformPrefix, settings.domain, m_members.self().node, [this] { return announcedVersion(m_startup, m_log.version()); });
+        m_convictions = std::make_unique<conviction_registry>(loop, *m_store, settings.platformPrefix, seed);
     }
     readFallback();
 }
@@ -111,6 +112,9 @@
             updateStartup();
         });
     }
+    if (m_convictions) {
+        m_convictions->read([this](const noted_conviction &noted) { m_handlers.onConviction(noted); });
+    }
     m_tick = m_loop.every(tickPeriod, [this] { tick(); });
     refreshSeeds();
     m_seedTimer = m_loop.every(seedReadPeriod, [this] { refreshSeeds(); });
@@ -371,6 +375,13 @@
     }
 }
 
+void control_path::keepConviction(const noted_conviction &conviction, conviction_source source)
+{
+    if (m_convictions) {
+        m_convictions->keep(conviction, source);
+    }
+}
+
 void control_path::leave()
 {
     std::vector<addressed_gossip> messages;
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -12,6 +12,7 @@
 #include "turmericspar/policy/version_log.h"
 #include "turmericspar/policy/version_pull.h"
 #include "turmericspar/policy/watcher_choice.h"
+#include "turmericspar/store/conviction_registry.h"
 #include "turmericspar/store/seed_registry.h"
 #include "turmericspar/store/version_store.h"
 
@@ -34,6 +35,7 @@
     std::function<void(const member &)> onMember; ///< a member's entry changed
     std::function<void(const node_id &)> onMemberForgotten;
     std::function<void(std::uint64_t run)> onOwnDeparture; ///< a run of this node's upstream has deregistered, as an earlier process acknowledged
+    std::function<void(const noted_conviction &)> onConviction; ///< the store has a note of a request that crashes upstreams
 };
 
 /// How many live nodes of a failure domain have a configuration version in force.
@@ -74,6 +76,8 @@
     /// Records with the other members and in the store that a run of this node's upstream has deregistered.
     /// @param recorded called when the store has acknowledged it, or at once if there is none
     void recordDeparture(std::uint64_t run, std::function<void()> recorded);
+    /// Keeps a note in the store, if there is one, about a request that crashes upstreams.
+    void keepConviction(const noted_conviction &conviction, conviction_source source);
     /// Announces to the other members that this node leaves.
     void leave();
 
@@ -128,6 +132,7 @@
     std::unique_ptr<store> m_store;
     std::unique_ptr<version_source> m_versionSource;
     std::unique_ptr<seed_registry> m_seedRegistry;
+    std::unique_ptr<conviction_registry> m_convictions;
     node_link *m_links = nullptr;
     version_pull m_pull{{}};
     millis m_clockRequestedAt{0};
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "node.pb.h"
 #include "turmericspar/base/log.h"
+#include "turmericspar/node/wire.h"
 
 #include <csignal>
 #include <cstring>
@@ -49,7 +50,8 @@
                 {[this] { onConfigurationChanged(); },
                  [this](const member &entry) { onMemberChanged(entry); },
                  [this](const node_id &node) { m_calls.routes().remove(node); },
-                 [this](std::uint64_t run) { m_upstream.recordDeparture(run); }})
+                 [this](std::uint64_t run) { m_upstream.recordDeparture(run); },
+                 [this](const noted_conviction &noted) { onConvictionRead(noted); }})
     , m_calls(m_loop, settings, m_profile, m_self, m_incarnation, m_seed, callPathCallbacks())
     , m_links(m_loop, {settings.nodes, !settings.trustNetwork || !settings.keyFiles.empty()}, m_self, keys, m_incarnation, linkHandlers())
     , m_callers(m_loop, callerOptions(settings), [this](const http_exchange_ptr &exchange) { m_calls.accept(exchange); })
@@ -112,8 +114,9 @@
     handlers.onMemberPush = [this](const wire::MemberPush &push) { m_control.onMemberPush(push); };
     handlers.onSuspicions = [this](const wire::SuspicionPush &push) {
         for (const auto &entry : push.entries()) {
-            const auto level = static_cast<suspicion_level>(std::min<std::uint32_t>(entry.level(), suspicionNames.names.size() - 1));
-            m_calls.addRemoteSuspicion({entry.digest(), level, monotonicNow() - millis{std::max(entry.age_ms(), 0.0)}});
+            const auto reported = fromWire(entry, monotonicNow());
+            m_calls.addRemoteSuspicion(reported);
+            noteConviction(reported, conviction_source::told);
         }
     };
     handlers.onPeerClock = [this](const node_id &node, millis date) { m_control.onPeerClock(node, date); };
@@ -168,6 +171,7 @@
 {
     for (const auto &item : suspicions) {
         logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
+        noteConviction(item, conviction_source::raised);
     }
     std::vector<node_id> nodes;
     for (const auto &[node, entry] : m_control.members().members()) {
@@ -182,20 +186,35 @@
 {
     wire::SuspicionPush push;
     for (const auto &item : suspicions) {
-        auto *entry = push.add_entries();
-        entry->set_digest(item.digest);
-        entry->set_level(static_cast<std::uint32_t>(item.level));
-        entry->set_age_ms((monotonicNow() - item.at).count);
+        toWire(item, monotonicNow(), *push.add_entries());
     }
     for (const auto &node : nodes) {
         m_links.pushSuspicions(node, push);
     }
 }
 
-/// Hands all suspicions to a member of the same service that has started anew or was out of reach, since it missed those that were broadcast.
+/// Keeps a conviction in the store, so that the request stays refused if all nodes that know it end.
+void node_daemon::noteConviction(const suspicion &entry, conviction_source source)
+{
+    if (entry.level == suspicion_level::convicted) {
+        m_control.keepConviction({entry, m_calls.service(), m_calls.expiryOf(entry)}, source);
+    }
+}
+
+/// Handles a conviction that an earlier process noted in the store.
+void node_daemon::onConvictionRead(const noted_conviction &noted)
+{
+    logEvent(log_level::info, "conviction_read", {{"digest", noted.entry.digest}, {"service", noted.service}});
+    m_calls.addRemoteSuspicion(noted.entry);
+    if (noted.service == m_settings.service) {
+        m_control.keepConviction(noted, conviction_source::read);
+    }
+}
+
+/// Hands what this node knows of a member's service to that member if it has started anew or was out of reach, since it missed what was broadcast.
 void node_daemon::tellSuspicions(const member &entry)
 {
-    if (!isLive(entry) || entry.node == m_self || entry.service != m_calls.service()) {
+    if (!isLive(entry) || entry.node == m_self || entry.service.empty()) {
         m_toldSuspicions.erase(entry.node);
         return;
     }
@@ -203,7 +222,7 @@
     if (std::exchange(told, entry.incarnation) == entry.incarnation) {
         return;
     }
-    const auto suspicions = m_calls.activeSuspicions();
+    const auto suspicions = m_calls.activeSuspicions(entry.service);
     if (!suspicions.empty()) {
         logEvent(log_level::info, "suspicions_told", {{"peer", entry.node}, {"count", suspicions.size()}});
         pushSuspicions({entry.node}, suspicions);
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -30,6 +30,8 @@
     void logMemberState(const member &entry);
     void broadcastSuspicions(const std::vector<suspicion> &news);
     void tellSuspicions(const member &entry);
+    void noteConviction(const suspicion &entry, conviction_source source);
+    void onConvictionRead(const noted_conviction &noted);
     void pushSuspicions(const std::vector<node_id> &nodes, const std::vector<suspicion> &suspicions);
     void respondReadiness(const http_exchange_ptr &exchange) const;
     void onConfigurationChanged();
@@ -55,7 +57,7 @@
     operator_server m_operators;
     operator_api m_api;
     std::map<node_id, std::pair<std::uint64_t, member_state>> m_loggedStates; ///< incarnation and state of each member, as last logged
-    std::map<node_id, std::uint64_t> m_toldSuspicions; ///< incarnation of each live member of the same service that was told all suspicions
+    std::map<node_id, std::uint64_t> m_toldSuspicions; ///< incarnation at which each live member was last told what is suspected in its service
     bool m_shuttingDown = false;
     millis m_shutdownStartedAt{0};
     std::size_t m_callsCut = 0; ///< calls that were in progress when the time of the stop was over
--- a/packages/node/include/turmericspar/node/wire.h
+++ b/packages/node/include/turmericspar/node/wire.h
@@ -4,6 +4,7 @@
 
 #include "turmericspar/base/http.h"
 #include "turmericspar/policy/membership.h"
+#include "turmericspar/policy/suspects.h"
 
 #include <optional>
 #include <string>
@@ -14,6 +15,7 @@
 
 namespace wire {
 class Member;
+class Suspicion;
 class UpstreamCondition;
 } // namespace wire
 
@@ -27,6 +29,11 @@
 /// Converts a message to what is known of an upstream. A rate limit that is no valid one is left out.
 upstream_condition fromWire(const wire::UpstreamCondition &in);
 
+/// Converts a suspicion to its message, which states its age.
+void toWire(const suspicion &entry, millis now, wire::Suspicion &out);
+/// Converts a message to a suspicion. An unknown level counts as the highest, an age that is no valid one as 0.
+suspicion fromWire(const wire::Suspicion &in, millis now);
+
 /// Serializes a gossip message, without signature.
 /// @param wallClock the sender's wall-clock time, as the timestamp of the message
 std::string encodeGossip(const gossip_message &message, millis wallClock);
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -7,6 +7,7 @@
 #include "turmericspar/base/names.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -46,6 +47,10 @@
     explicit suspects(const suspects_tunables &tuning) : m_tuning(tuning) { }
 
     suspicion_level level(request_digest digest, millis now) const;
+    /// @return the entry of a convicted request; nothing if it is not convicted.
+    std::optional<suspicion> conviction(request_digest digest, millis now) const;
+    /// @return when a conviction no longer holds.
+    millis expiry(const suspicion &entry) const { return entry.at + m_tuning.convictionLifetime; }
     /// @return the number of requests that are suspected or convicted.
     std::size_t activeCount(millis now) const;
 
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -15,6 +15,11 @@
     return now - found->second.at < life ? found->second.level : suspicion_level::none;
 }
 
+std::optional<suspicion> suspects::conviction(request_digest digest, millis now) const
+{
+    return level(digest, now) == suspicion_level::convicted ? std::optional<suspicion>(m_entries.at(digest)) : std::nullopt;
+}
+
 std::size_t suspects::activeCount(millis now) const
 {
     return static_cast<std::size_t>(
