A first line that is no status line is no answer

Callers got bytes of a faulty upstream as an answer: a signed "HTTP/1.1 001 Odd" reached them as status 1, 099 as 99, 20 as 20, 600 and 999 as they were, a line of HTTP/2.0 or with two spaces as 200. 000, which other operators reported, was answered with 502 already, by accident.

Cause: the status was read by a lenient parser, and interim answers were told apart by their first digit alone. Ruled out: later stages, which pass on what they get.

Change: the reader of all answers checks the status line itself: version, one space, three digits, a code from 100 to 599, and 101 refused. Anything else is a broken answer (502, connection closed), counted in turmericspar_broken_answers and logged with the upstream's name, bounded.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -201,6 +201,7 @@
     status.connections = m_pool.openCount();
     status.retries = m_entry.retriesSpent();
     status.silentCalls = m_silentCallCount;
+    status.brokenAnswers = m_brokenAnswerCount;
     status.suspects = m_suspects.activeCount(monotonicNow());
     status.draining = m_serving.draining();
     return status;
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -59,6 +59,7 @@
     std::size_t connections = 0; ///< open connections to the upstream
     std::uint64_t retries = 0; ///< since the start
     std::uint64_t rateLimited = 0; ///< calls refused because of the upstream's rate limit, since the start
+    std::uint64_t brokenAnswers = 0; ///< answers of the upstream that can't be read or exceed the limits, since the start
     std::uint64_t silentCalls = 0; ///< calls ended because their upstream connection went silent, since the start
     std::size_t suspects = 0; ///< requests that are suspected of crashing upstreams, or refused for it
     bool draining = false;
@@ -209,6 +210,7 @@
     void serve(call_origin origin, call_context context, http_request request, const std::string &callerService);
     void start(call_id id);
     void onUpstreamOutcome(call_id id, http_outcome outcome);
+    void countBrokenAnswer(call_id id, const std::error_code &error);
     void readStatements(call_id id, const http_response &response);
     void applyReportedCondition(const upstream_condition &reported);
     void logRateLimit(std::optional<double> previous, std::string_view source) const;
@@ -264,6 +266,7 @@
     call_id m_activeSuspect = 0; ///< the only suspect that is queued or running at the upstream; 0 if there is none
     call_id m_nextCallId = 1;
     std::uint64_t m_silentCallCount = 0;
+    std::uint64_t m_brokenAnswerCount = 0;
     std::uint64_t m_rateLimitedCount = 0;
     std::unordered_map<call_id, entry_call> m_entryCalls;
     std::unordered_map<call_id, upstream_call> m_upstreamCalls;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -304,6 +304,21 @@
     }
 }
 
+/// Counts and logs an answer whose connection this node closed because of what it read.
+void call_path::countBrokenAnswer(call_id id, const std::error_code &error)
+{
+    const auto found = m_upstreamCalls.find(id);
+    ++m_brokenAnswerCount;
+    if (found != m_upstreamCalls.end() && m_decisions.admit(monotonicNow())) {
+        m_decisions.write("upstream_answer_broken",
+                          {{"request", found->second.context.root},
+                           {"service", m_service},
+                           {"instance", m_announcement.instance},
+                           {"peer", m_announcement.address.text()},
+                           {"error", error.message()}});
+    }
+}
+
 /// Handles the upstream's answer to a call, or the failure of its connection.
 void call_path::onUpstreamOutcome(call_id id, http_outcome outcome)
 {
@@ -311,6 +326,9 @@
     if (!outcome.error && isComplete(outcome.response)) {
         readStatements(id, outcome.response);
     }
+    if (outcome.error == errc::malformed_message || outcome.error == errc::message_too_large) {
+        countBrokenAnswer(id, outcome.error);
+    }
     if (outcome.error) {
         const bool timedOut = outcome.error == errc::timeout;
         const auto reason = !outcome.sent ? refusal_reason::unreachable : (timedOut ? refusal_reason::deadline : refusal_reason::broken);
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -230,6 +230,7 @@
             {"connections", calls.connections},
             {"retries", calls.retries},
             {"silent_calls", calls.silentCalls},
+            {"broken_answers", calls.brokenAnswers},
             {"suspects", calls.suspects},
             {"rank_names", m_control.inForce().ranks},
             {"ranks", ranks}};
@@ -292,6 +293,9 @@
     metrics.setGauge("turmericspar_upstream_leaving", "1 if the upstream states in its answers that it leaves", calls.leaving ? 1 : 0);
     metrics.setGauge("turmericspar_retries", "Retries spent since the start", static_cast<double>(calls.retries));
     metrics.setGauge("turmericspar_silent_calls", "Calls whose upstream connection went silent, since the start", static_cast<double>(calls.silentCalls));
+    metrics.setGauge("turmericspar_broken_answers",
+                     "Answers of the upstream that can't be read or exceed the limits, since the start",
+                     static_cast<double>(calls.brokenAnswers));
     metrics.setGauge("turmericspar_config_version", "Configuration version in force", static_cast<double>(m_control.versions().version()));
     metrics.setGauge("turmericspar_members", "Live members known", static_cast<double>(m_control.members().liveCount()));
     metrics.setGauge("turmericspar_store_restores", "Times that the store came back from an older copy", static_cast<double>(m_control.storeRestores()));
--- a/packages/base/src/http.cpp
+++ b/packages/base/src/http.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
 #include <evhtp/parser.h>
+#include <optional>
 #include <strings.h>
 
 namespace turmericspar {
@@ -15,8 +17,13 @@
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 
-/// Position of the status code in a status line, behind "HTTP/1.1 ".
-constexpr std::size_t statusOffset = 9;
+/// What a status line begins with. Responses of HTTP/1.0 are framed like those of HTTP/1.1 that state no length.
+constexpr std::array<std::string_view, 2> versionPrefixes{"HTTP/1.1 ", "HTTP/1.0 "};
+constexpr std::size_t statusDigits = 3;
+constexpr int firstInterimStatus = 100;
+constexpr int statusSwitchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
 
 /// The empty line that ends a header.
 constexpr std::string_view headerEnd = "\r\n\r\n";
@@ -99,6 +106,24 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+/// @return the status code that a response header begins with; nothing if its first line is no status line (RFC 9112, section 4), or if the code has
+/// no meaning (RFC 9110, section 15).
+std::optional<int> statusOf(std::string_view header)
+{
+    const auto *const version =
+        std::find_if(versionPrefixes.begin(), versionPrefixes.end(), [&](std::string_view prefix) { return header.substr(0, prefix.size()) == prefix; });
+    if (version == versionPrefixes.end()) {
+        return std::nullopt;
+    }
+    const auto digits = header.substr(version->size(), statusDigits);
+    const auto rest = header.substr(version->size() + digits.size(), 1);
+    int status = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    const bool valid =
+        digits.size() == statusDigits && allDigits(digits) && (rest == " " || rest == "\r") && status >= firstInterimStatus && status <= lastStatus;
+    return valid ? std::optional<int>(status) : std::nullopt;
+}
+
 } // namespace
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
@@ -388,14 +413,23 @@
         return m_header.size() - previousSize;
     }
 
-    // Step 2. Skip interim responses (1xx)
+    // Step 2. Check the status line of a response, and skip interim ones
     m_header.resize(end + headerEnd.size());
     const std::size_t consumed = m_header.size() - previousSize;
-    if (m_role == role::client && m_header.size() > statusOffset && m_header[statusOffset] == '1') {
-        const auto previousFramingBytes = m_framingBytes;
-        reset(m_headRequest);
-        m_framingBytes = previousFramingBytes;
-        return consumed;
+    if (m_role == role::client) {
+        const auto status = statusOf(m_header);
+        // No request asks for another protocol.
+        if (!status || *status == statusSwitchingProtocols) {
+            fail(statusBadRequest);
+            return consumed;
+        }
+        if (*status < firstFinalStatus) {
+            const auto previousFramingBytes = m_framingBytes;
+            reset(m_headRequest);
+            m_framingBytes = previousFramingBytes;
+            return consumed;
+        }
+        m_response.status = *status;
     }
 
     // Step 3. Parse the header
@@ -482,7 +516,6 @@
     }
 
     // The body of a response without a stated length ends with the connection, unless the response has no body (RFC 9112, section 6.3).
-    m_response.status = static_cast<int>(htparser_get_status(m_parser.get()));
     const bool hasNoBody = m_headRequest || m_response.status == 204 || m_response.status == 304;
     const bool hasStatedLength = m_response.fields.count("Content-Length") + m_response.fields.count("Transfer-Encoding") > 0;
     if (hasNoBody) {
--- a/packages/base/tests/http_test.cpp
+++ b/packages/base/tests/http_test.cpp
@@ -201,4 +201,64 @@
     EXPECT_TRUE(aborted);
 }
 
+/// @return the status of the response that a text holds; nothing if it is none.
+std::optional<int> responseStatus(const std::string &statusLine)
+{
+    http_reader reader(http_reader::role::client, {});
+    const std::string text = statusLine + "\r\nContent-Length: 2\r\n\r\nok";
+    for (std::size_t used = 0; used < text.size() && reader.currentState() == http_reader::state::reading;) {
+        used += reader.feed(text.data() + used, text.size() - used);
+    }
+    return reader.currentState() == http_reader::state::complete ? std::optional<int>(reader.response().status) : std::nullopt;
+}
+
+// Guards against bytes of a faulty upstream that reach the caller as an answer, with a status code that is none.
+TEST(http_reader, a_first_line_that_is_no_status_line_is_no_response)
+{
+    for (const auto *line : {"HTTP/1.1 000 Odd",
+                             "HTTP/1.1 001 Odd",
+                             "HTTP/1.1 099 Odd",
+                             "HTTP/1.1 20 OK",
+                             "HTTP/1.1 2 OK",
+                             "HTTP/1.1 2000 OK",
+                             "HTTP/1.1 600 Odd",
+                             "HTTP/1.1 999 Odd",
+                             "HTTP/1.1 -20 OK",
+                             "HTTP/1.1 +20 OK",
+                             "HTTP/1.1 2x0 OK",
+                             "HTTP/1.1  200 OK",
+                             "HTTP/1.1\t200 OK",
+                             "HTTP/1.1 200\tOK",
+                             "HTTP/1.1 101 Switching",
+                             "HTTP/1.1 1 Odd",
+                             "HTTP/2.0 200 OK",
+                             "HTTP/0.9 200 OK",
+                             "HTTP/1.10 200 OK",
+                             "HTTP/1.1200 OK",
+                             "http/1.1 200 OK",
+                             "HTTP/1.1",
+                             "HTTP/1.1 ",
+                             "200 OK",
+                             "",
+                             " HTTP/1.1 200 OK",
+                             "HTTP/1.1 2\r00 OK",
+                             "HTTP/1.1 \xb2"
+                             "00 OK"}) {
+        EXPECT_EQ(responseStatus(line), std::nullopt) << line;
+    }
+}
+
+TEST(http_reader, every_status_code_that_has_a_meaning_is_passed_on)
+{
+    for (int status = 200; status <= 599; ++status) {
+        if (status != 204 && status != 304) { // these have no body
+            EXPECT_EQ(responseStatus("HTTP/1.1 " + std::to_string(status) + " Text"), status);
+        }
+    }
+    EXPECT_EQ(responseStatus("HTTP/1.0 200 OK"), 200);
+    EXPECT_EQ(responseStatus("HTTP/1.1 200 "), 200);
+    EXPECT_EQ(responseStatus("HTTP/1.1 200"), 200) << "many servers leave out the space before an empty reason";
+    EXPECT_EQ(responseStatus("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK"), 200);
+}
+
 } // namespace
