Answers without end take no more memory than is set aside for them

Hosts with 160 MB could run out of memory by one faulty upstream: 36 connections that sent bodies without end took their node to 148 MB (no length) and 116 MB (chunks), where all answers together may take 48 MB. Heads, framing and interim answers without end were cut off as they should. Complete answers to other requests without end held the request until its deadline.

Cause: the budget counted bytes, not the memory of the strings, which double as they grow; a refused body kept its memory; the C library kept freed blocks. Ruled out: missing bounds (each answer was cut off at its limit) and the link (no other node grew).

Change: bodies grow by half and the budget counts what is allocated; refused bodies are freed; blocks of 256 KB or more go back to the host; at most 16 answers to other requests are skipped.

--- a/apps/turmericspard/main.cpp
+++ b/apps/turmericspard/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -32,9 +33,14 @@
 
 constexpr int exitFailed = 1;
 
+/// Size of blocks that are returned to the host as soon as they are freed. By default the C library raises it to the size of the largest bodies, whose
+/// memory then stays with the process.
+constexpr int returnedBlockBytes = 256 * 1024;
+
 int runNode(const node_settings &settings, const key_ring &keys)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, returnedBlockBytes);
     startLog(settings.name, settings.logLevel, settings.logFile);
     node_daemon daemon(settings, settings.interface == interface_kind::platform ? platform::platformInterface() : interface_profile(), keys);
     const auto started = daemon.start();
--- a/packages/base/include/turmericspar/base/http.h
+++ b/packages/base/include/turmericspar/base/http.h
@@ -137,6 +137,7 @@
 
     int onHeaderComplete();
     int onBody(const char *data, std::size_t size);
+    bool allocateBody(std::string &body, std::size_t size);
     bool isFramingUnambiguous() const;
     void fail(int status);
     std::size_t feedHeader(std::string_view input);
--- a/packages/base/include/turmericspar/base/http_client.h
+++ b/packages/base/include/turmericspar/base/http_client.h
@@ -82,7 +82,7 @@
     state m_state = state::closed;
     bufferevent *m_bev = nullptr;
     bool m_sent = false;
-    bool m_sawForeignResponse = false; ///< whether a response to another request was received
+    int m_foreignResponses = 0; ///< responses to other requests that arrived since the request was sent
     http_correlation m_correlation;
     std::vector<std::string> m_failed; ///< correlation values of requests that were answered with an error
     std::optional<millis> m_keepAliveTimeout;
--- a/packages/base/src/http.cpp
+++ b/packages/base/src/http.cpp
@@ -31,6 +31,9 @@
 /// Framing bytes allowed for each byte of the body. Chunks of one byte have five (the size and two line breaks); the sixth allows for longer sizes.
 constexpr std::size_t maxFramingPerBodyByte = 6;
 
+/// Factor by which the memory of a body grows.
+constexpr double bodyGrowth = 1.5;
+
 /// Hop-by-hop fields (RFC 9110, section 7.6.1), including the framing fields that are set anew on each connection.
 constexpr std::array<std::string_view, 9> hopByHopFields{
     "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade"};
@@ -359,9 +362,9 @@
 {
     m_state = state::failed;
     m_errorStatus = status;
-    // An incomplete body is never used; free its memory.
-    m_request.body = {};
-    m_response.body = {};
+    // An incomplete body is never used. Assigning an empty string would keep its memory.
+    std::string().swap(m_request.body);
+    std::string().swap(m_response.body);
     releaseBudget();
 }
 
@@ -532,17 +535,37 @@
 int http_reader::onBody(const char *data, std::size_t size)
 {
     auto &body = m_role == role::server ? m_request.body : m_response.body;
-    auto *budget = m_limits.sharedBudget;
-    if (body.size() + size > m_limits.bodyBytes || (budget && budget->used + size > budget->limit)) {
+    if (body.size() + size > m_limits.bodyBytes || !allocateBody(body, body.size() + size)) {
         fail(statusTooLarge);
         return 1;
     }
-    if (budget) {
-        budget->used += size;
-        m_budgetBytes += size;
-    }
     body.append(data, size);
     return 0;
 }
 
+/// Makes room in a body. The shared budget counts the memory that is allocated, not only what is used of it.
+/// @return false if the budget has no room for it
+bool http_reader::allocateBody(std::string &body, std::size_t size)
+{
+    if (size <= body.capacity()) {
+        return true;
+    }
+    auto *budget = m_limits.sharedBudget;
+    const std::size_t available = budget ? budget->limit - budget->used + m_budgetBytes : m_limits.bodyBytes;
+    if (size > available) {
+        return false;
+    }
+    const auto wanted = static_cast<std::size_t>(static_cast<double>(body.capacity()) * bodyGrowth);
+    // A string that grows by itself takes twice its size at least.
+    std::string grown;
+    grown.reserve(std::clamp(wanted, size, std::max(size, std::min(available, m_limits.bodyBytes))));
+    grown.append(body);
+    body = std::move(grown);
+    if (budget) {
+        budget->used += body.capacity() - m_budgetBytes;
+        m_budgetBytes = body.capacity();
+    }
+    return true;
+}
+
 } // namespace turmericspar
--- a/packages/base/src/http_client.cpp
+++ b/packages/base/src/http_client.cpp
@@ -17,6 +17,8 @@
 constexpr int firstErrorStatus = 400;
 /// Number of requests answered with an error after which a connection is not used again.
 constexpr std::size_t failuresMax = 64;
+/// Number of responses to other requests after which the expected one is not waited for any longer: a faulty server may send them without end.
+constexpr int foreignResponsesMax = 16;
 
 /// Parses the timeout of a Keep-Alive field such as "timeout=5, max=100".
 std::optional<millis> parseKeepAliveTimeout(const std::string &text)
@@ -65,7 +67,7 @@
 void http_client::send(const http_request &request, millis timeout, response_handler onResponse, http_correlation correlation)
 {
     m_correlation = std::move(correlation);
-    m_sawForeignResponse = false;
+    m_foreignResponses = 0;
     m_onResponse = std::move(onResponse);
     m_sent = false;
     m_unsentRequest = serialize(request, m_peer.text());
@@ -134,7 +136,10 @@
 {
     // Step 1. Discard a response to another request; the expected one may still follow
     if (!responseMatchesRequest()) {
-        m_sawForeignResponse = true;
+        if (++m_foreignResponses > foreignResponsesMax) {
+            close(errc::malformed_message);
+            return;
+        }
         m_reader.reset();
         read();
         return;
@@ -144,7 +149,7 @@
     const bool requestSent = evbuffer_get_length(bufferevent_get_output(m_bev)) == 0;
     const bool inputEmpty = evbuffer_get_length(bufferevent_get_input(m_bev)) == 0;
     const bool failureNoted = noteFailure(m_reader.response());
-    const bool reusable = m_reader.keepAlive() && requestSent && inputEmpty && !m_sawForeignResponse && failureNoted;
+    const bool reusable = m_reader.keepAlive() && requestSent && inputEmpty && m_foreignResponses == 0 && failureNoted;
     http_outcome outcome{{}, true, std::move(m_reader.response())};
     const auto stated = parseKeepAliveTimeout(outcome.response.fields.get("Keep-Alive"));
     m_keepAliveTimeout = stated ? stated : m_keepAliveTimeout;
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -154,6 +154,18 @@
     EXPECT_EQ(result.outcome.error, errc::timeout);
 }
 
+// Guards against a request that reads responses to others, one after the other, until its deadline.
+TEST(http_client_correlation, responses_to_other_requests_without_end_are_a_broken_answer)
+{
+    std::string bytes;
+    for (int i = 0; i < 1000; ++i) {
+        bytes += "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong";
+    }
+    const auto result = sendRequest(bytes, scripted_peer::ending::keep_open);
+    EXPECT_EQ(result.outcome.error, errc::malformed_message);
+    EXPECT_FALSE(result.connectionOpen);
+}
+
 TEST(http_client_framing, bytes_after_response_close_connection)
 {
     const auto result = sendRequest("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200", scripted_peer::ending::keep_open);
--- a/packages/base/tests/http_unbounded_input_test.cpp
+++ b/packages/base/tests/http_unbounded_input_test.cpp
@@ -126,4 +126,33 @@
     EXPECT_EQ(budget.used, 0U) << "destroyed readers release their memory to the budget";
 }
 
+// Guards a host with little memory: strings that grow by themselves take up to twice what they hold.
+TEST(http_unbounded_input, concurrent_bodies_allocate_no_more_than_the_shared_budget)
+{
+    byte_budget budget{400 * 1024, 0};
+    http_limits shared = limits;
+    shared.sharedBudget = &budget;
+    const std::string header = "HTTP/1.1 200 OK\r\n\r\n";
+    const std::string data(1000, 'x');
+    std::vector<std::unique_ptr<http_reader>> readers;
+    for (int i = 0; i < 7; ++i) {
+        readers.push_back(std::make_unique<http_reader>(http_reader::role::client, shared));
+        readers.back()->feed(header.data(), header.size());
+    }
+    std::size_t received = 0;
+    for (int turn = 0; turn < 200; ++turn) {
+        std::size_t allocated = 0;
+        std::size_t held = 0;
+        for (const auto &reader : readers) {
+            reader->feed(data.data(), data.size());
+            allocated += reader->response().body.capacity();
+            held += reader->response().body.size();
+        }
+        received = std::max(received, held);
+        // An empty string has some room without allocating it.
+        ASSERT_LE(allocated, budget.limit + readers.size() * std::string().capacity()) << "turn " << turn;
+    }
+    EXPECT_GE(received, budget.limit / 2) << "the budget is made use of";
+}
+
 } // namespace
