A request that crashes upstreams is refused for longer each time

Change: when a conviction expires the request is suspected, so that it runs alone; a run that ends clears it, a crash convicts it at once for ten times as long. Entries count their convictions, which nodes exchange and note; of two entries the one with more holds. A table that is full keeps its convictions.

--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -17,6 +17,8 @@
 constexpr millis leaveDelay{1000};
 /// Time in which the answers that are given at the end of a stop are written.
 constexpr millis lastAnswersTime{300};
+/// Shortest life of the note of a conviction: a request that crashes upstreams again after it was refused for a minute is convicted at once.
+constexpr millis convictionNoteMin{600'000};
 constexpr std::size_t seedBytes = sizeof(std::uint64_t);
 
 std::uint64_t randomSeed()
@@ -197,7 +199,7 @@
 void node_daemon::noteConviction(const suspicion &entry, conviction_source source)
 {
     if (entry.level == suspicion_level::convicted) {
-        m_control.keepConviction({entry, m_calls.service(), m_calls.expiryOf(entry)}, source);
+        m_control.keepConviction({entry, m_calls.service(), std::max(m_calls.expiryOf(entry), entry.at + convictionNoteMin)}, source);
     }
 }
 
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -70,13 +70,15 @@
     out.set_digest(entry.digest);
     out.set_level(static_cast<std::uint32_t>(entry.level));
     out.set_age_ms((now - entry.at).count);
+    out.set_convictions(static_cast<std::uint32_t>(entry.convictions));
 }
 
 suspicion fromWire(const wire::Suspicion &in, millis now)
 {
     const auto level = static_cast<suspicion_level>(std::min<std::uint32_t>(in.level(), suspicionNames.names.size() - 1));
     const bool validAge = std::isfinite(in.age_ms()) && in.age_ms() > 0;
-    return {in.digest(), level, now - millis{validAge ? in.age_ms() : 0}};
+    const auto convictions = static_cast<int>(std::min<std::uint32_t>(in.convictions(), suspicion::convictionsMax));
+    return {in.digest(), level, now - millis{validAge ? in.age_ms() : 0}, convictions};
 }
 
 std::string encodeGossip(const gossip_message &message, millis wallClock)
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -26,9 +26,12 @@
 /// A table entry, as nodes exchange it.
 struct suspicion
 {
+    static constexpr int convictionsMax = 1000; ///< to which statements of others are cut
+
     request_digest digest = 0;
     suspicion_level level = suspicion_level::none;
     millis at; ///< time of the entry by this node's monotonic clock; of two entries of the same weight, the later one holds
+    int convictions = 0; ///< how often the request was convicted; each time it is refused for longer
 };
 
 struct suspects_tunables
@@ -36,7 +39,9 @@
     millis crashWindow{50}; ///< time within which the connections of all calls of one crash break
     double crashShare = 0.5; ///< share of the calls in flight that must break to count as a crash
     millis suspicionLifetime{30'000}; ///< how long a request stays suspected
-    millis convictionLifetime{60'000}; ///< how long a convicted request is refused
+    millis convictionLifetime{60'000}; ///< how long a request is refused when it is convicted for the first time
+    double convictionGrowth = 10; ///< factor by which that time grows with each further conviction
+    millis convictionMemory{86'400'000}; ///< how long a request that is no longer refused stays suspected, and the longest time of a refusal
     std::size_t entriesMax = 10'000;
 };
 
@@ -49,8 +54,8 @@
     suspicion_level level(request_digest digest, millis now) const;
     /// @return the entry of a convicted request; nothing if it is not convicted.
     std::optional<suspicion> conviction(request_digest digest, millis now) const;
-    /// @return when a conviction no longer holds.
-    millis expiry(const suspicion &entry) const { return entry.at + m_tuning.convictionLifetime; }
+    /// @return when a convicted request is no longer refused. It is then run as a suspect until a run has completed.
+    millis expiry(const suspicion &entry) const;
     /// @return the number of requests that are suspected or convicted.
     std::size_t activeCount(millis now) const;
 
@@ -66,7 +71,7 @@
     bool needsTick() const { return !m_broken.empty() || !m_updates.empty(); }
 
     /// Merges an entry of another node. A conviction holds until it expires: a node that knows less may suspect the request anew, and is then
-    /// told of the conviction with the next updates.
+    /// told of the conviction with the next updates. Of two entries the one with more convictions holds.
     void merge(const suspicion &update, millis now);
     /// @return the entries that hold, for a node that knows none of them.
     std::vector<suspicion> active(millis now) const;
@@ -74,7 +79,9 @@
     std::vector<suspicion> takeUpdates();
 
 private:
-    void put(const suspicion &entry);
+    void put(suspicion entry, millis now);
+    int convictionsOf(request_digest digest) const;
+    bool isConvicted(const suspicion &entry, millis now) const;
 
     const suspects_tunables m_tuning;
     std::unordered_map<request_digest, suspicion> m_entries;
--- a/packages/store/include/turmericspar/store/conviction_registry.h
+++ b/packages/store/include/turmericspar/store/conviction_registry.h
@@ -50,9 +50,9 @@
         noted_conviction conviction;
         millis dueAt; ///< when it is written, or looked for
         bool lookFirst = false; ///< whether another node may have written it
-        bool done = false; ///< whether it is in the store, as far as this node knows
     };
 
+    static millis nextDue(const noted_conviction &conviction);
     std::string keyOf(request_digest digest) const;
     void handleRestore();
     void schedule();
--- a/packages/store/src/conviction_registry.cpp
+++ b/packages/store/src/conviction_registry.cpp
@@ -19,6 +19,10 @@
 /// Longest life of a lease that the store grants.
 constexpr millis leaseMax{600'000};
 constexpr millis leaseMin{1000};
+/// A note of a longer conviction is written again after this share of its lease.
+constexpr double leaseRenewalShare = 0.8;
+/// Longest life that a note may state.
+constexpr millis lifeMax{86'400'000};
 /// Most notes that are kept, and most that are taken from a reading.
 constexpr std::size_t notesMax = 1000;
 
@@ -39,23 +43,27 @@
     const millis age = monotonicNow() - conviction.entry.at;
     const millis life = conviction.expiresAt - conviction.entry.at;
     const auto whole = [](millis time) { return static_cast<std::int64_t>(time.count); };
-    return nlohmann::json{{"service", conviction.service}, {"at_ms", whole(wallNow() - age)}, {"life_ms", whole(life)}}.dump();
+    return nlohmann::json{
+        {"service", conviction.service}, {"at_ms", whole(wallNow() - age)}, {"life_ms", whole(life)}, {"convictions", conviction.entry.convictions}}
+        .dump();
 }
 
 /// @return the conviction that a note states; nothing if it is malformed.
 std::optional<noted_conviction> convictionOf(request_digest digest, const std::string &text)
 {
     const auto note = parseDocument(text);
-    const auto isTime = [&](const char *key) { return note.contains(key) && note[key].is_number_integer(); };
-    if (!note.is_object() || !note.contains("service") || !note["service"].is_string() || !isTime("at_ms") || !isTime("life_ms")) {
+    const auto isNumber = [&](const char *key) { return note.contains(key) && note[key].is_number_integer(); };
+    if (!note.is_object() || !note.contains("service") || !note["service"].is_string() || !isNumber("at_ms") || !isNumber("life_ms")
+        || !isNumber("convictions")) {
         return std::nullopt;
     }
-    const auto timeOf = [&](const char *key) { return millis{static_cast<double>(note[key].get<std::int64_t>())}; };
-    const millis life = std::min(timeOf("life_ms"), leaseMax);
+    const auto numberOf = [&](const char *key) { return static_cast<double>(note[key].get<std::int64_t>()); };
+    const millis life{std::clamp(numberOf("life_ms"), 0.0, lifeMax.count)};
     // The note ends with its lease. One that seems older, or younger than now, was written by a host whose time of day differs.
-    const millis age = wallNow() - timeOf("at_ms");
+    const millis age = wallNow() - millis{numberOf("at_ms")};
     const millis at = monotonicNow() - (age.count < 0 || age > life ? millis{0} : age);
-    return noted_conviction{{digest, suspicion_level::convicted, at}, note["service"].get<std::string>(), at + life};
+    const int convictions = static_cast<int>(std::clamp(numberOf("convictions"), 1.0, static_cast<double>(suspicion::convictionsMax)));
+    return noted_conviction{{digest, suspicion_level::convicted, at, convictions}, note["service"].get<std::string>(), at + life};
 }
 
 } // namespace
@@ -71,6 +79,13 @@
     return m_prefix + fmt::format("{:016x}", digest);
 }
 
+/// @return when a note that is in the store is due again: before its lease ends, if the conviction lasts longer, else not any more.
+millis conviction_registry::nextDue(const noted_conviction &conviction)
+{
+    const millis now = monotonicNow();
+    return conviction.expiresAt > now + leaseMax ? now + leaseMax * leaseRenewalShare : conviction.expiresAt;
+}
+
 void conviction_registry::keep(const noted_conviction &conviction, conviction_source source)
 {
     const auto found = m_notes.find(conviction.entry.digest);
@@ -78,10 +93,13 @@
     if (known || conviction.expiresAt <= monotonicNow() || (found == m_notes.end() && m_notes.size() >= notesMax)) {
         return;
     }
-    const bool told = source == conviction_source::told;
-    const millis spread = lookDelay * std::uniform_real_distribution<double>(0, 1)(m_random);
-    const millis dueAt = monotonicNow() + (told ? lookDelay + spread : millis{0});
-    m_notes[conviction.entry.digest] = {conviction, dueAt, told, source == conviction_source::read};
+    auto &note = m_notes[conviction.entry.digest];
+    note = {conviction, monotonicNow(), source != conviction_source::raised};
+    if (source == conviction_source::told) {
+        note.dueAt += lookDelay + lookDelay * std::uniform_real_distribution<double>(0, 1)(m_random);
+    } else if (source == conviction_source::read) {
+        note.dueAt = nextDue(conviction);
+    }
     work();
 }
 
@@ -89,7 +107,6 @@
 void conviction_registry::handleRestore()
 {
     for (auto &[digest, note] : m_notes) {
-        note.done = false;
         note.lookFirst = true;
         note.dueAt = monotonicNow() + lookDelay * std::uniform_real_distribution<double>(0, 1)(m_random);
     }
@@ -100,9 +117,7 @@
 {
     std::optional<millis> dueAt;
     for (const auto &[digest, note] : m_notes) {
-        if (!note.done) {
-            dueAt = std::min(dueAt.value_or(note.dueAt), note.dueAt);
-        }
+        dueAt = std::min(dueAt.value_or(note.dueAt), note.dueAt);
     }
     if (dueAt) {
         m_timer = m_loop.after(std::max(*dueAt - monotonicNow(), millis{1}), [this] { work(); });
@@ -117,7 +132,7 @@
     }
     const millis now = monotonicNow();
     std::erase_if(m_notes, [&](const auto &item) { return item.second.conviction.expiresAt <= now; });
-    const auto due = std::find_if(m_notes.begin(), m_notes.end(), [&](const auto &item) { return !item.second.done && item.second.dueAt <= now; });
+    const auto due = std::find_if(m_notes.begin(), m_notes.end(), [&](const auto &item) { return item.second.dueAt <= now; });
     if (due == m_notes.end()) {
         schedule();
         return;
@@ -191,8 +206,7 @@
     m_callPending = false;
     const auto found = m_notes.find(digest);
     if (found != m_notes.end()) {
-        found->second.done = done;
-        found->second.dueAt = monotonicNow() + retryInterval;
+        found->second.dueAt = done ? nextDue(found->second.conviction) : monotonicNow() + retryInterval;
     }
     work();
 }
