The departure of an upstream covers its earlier runs

Cause: who has left was a set of hashes over id and start, so that an earlier run under the same id was unknown to it.

Change: a departure states the run, its instance and its start, wherever it is kept (announcement_order, member entry, note in the store). Earlier runs of that instance are taken for late, and count only if they persist. Statements that entry nodes hand back hold also if they are of a later run.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -327,7 +327,7 @@
     out.set_target(request.target);
     out.set_body(std::move(request.body));
     const auto condition = m_routes.condition(action.node);
-    if (condition.run != 0) {
+    if (condition.run.id != 0) {
         toWire(condition, *out.mutable_condition());
     }
     fieldsToWire(request.fields, m_profile.calls.commonFields, out);
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -84,7 +84,7 @@
     m_announcement = received;
     // An upstream whose announcements do not tell runs apart is taken for a new run once it was gone.
     const auto run = runOf({received.instance, received.startedAt, received.sequence});
-    if (run != m_upstreamRun || (run == 0 && m_service.empty())) {
+    if (run != m_upstreamRun || (run.id == 0 && m_service.empty())) {
         m_upstreamRun = run;
         m_upstreamLeaving = false;
         m_serving.upstreamRestarted();
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -182,7 +182,7 @@
         request_digest digest = 0;
         millis arrivedAt;
         millis startedAt; ///< 0 before it is started
-        std::uint64_t upstreamRun = 0; ///< run of the upstream at which it was started
+        upstream_run upstreamRun; ///< run of the upstream at which it was started
     };
 
     /// Whether the end of a call is recorded for its idempotency key.
@@ -274,7 +274,7 @@
     std::map<std::string, reported_levels> m_dependencyLevels; ///< by class: shed levels reported by the services that this node's upstream calls
     std::string m_service;
     announcement m_announcement; ///< the last one of the upstream
-    std::uint64_t m_upstreamRun = 0; ///< identifies the present run of the upstream; 0 if its announcements do not tell
+    upstream_run m_upstreamRun; ///< the present run of the upstream; none if its announcements do not tell
     bool m_upstreamLeaving = false; ///< whether the present run has stated in an answer that it is about to exit
     bool m_operatorDrain = false;
     bool m_shuttingDown = false;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -68,7 +68,7 @@
     setField(request.fields, m_profile.calls.callerService, callerService);
     const auto digest = digestOf(m_service, request);
     const auto suspicionLevel = m_settings.mode == policy_mode::full ? m_suspects.level(digest, monotonicNow()) : suspicion_level::none;
-    upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}};
+    upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}, {}};
     m_upstreamCallsByOrigin[{call.origin.from, call.origin.call}] = id;
     m_upstreamCalls.emplace(id, std::move(call));
     if (suspicionLevel == suspicion_level::convicted) {
@@ -291,7 +291,8 @@
 /// Applies what another node knows about the upstream. This node may have started after the upstream stated it.
 void call_path::applyReportedCondition(const upstream_condition &reported)
 {
-    if (m_upstreamRun == 0 || reported.run != m_upstreamRun) {
+    // What a later run stated holds as well: the announcement by which this process knows the upstream was then late.
+    if (m_upstreamRun.id == 0 || (reported.run.id != m_upstreamRun.id && !m_upstreamRun.precedes(reported.run))) {
         return;
     }
     if (reported.leaving) {
@@ -579,7 +580,7 @@
     reply.set_limit(static_cast<std::uint32_t>(std::max(m_serving.limit(), 0)));
     reply.set_pending(static_cast<std::uint32_t>(m_serving.running() + m_serving.waiting()));
     const upstream_condition stated{m_upstreamRun, m_serving.rateLimit(), m_upstreamLeaving};
-    if (stated.run != 0 && (stated.rateLimit || stated.leaving)) {
+    if (stated.run.id != 0 && (stated.rateLimit || stated.leaving)) {
         toWire(stated, *reply.mutable_condition());
     }
 }
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -230,8 +230,8 @@
 void control_path::publishMemberChanges()
 {
     for (const auto &node : m_members.takeChangedNodes()) {
-        if (node == m_members.self().node && m_members.self().departedRun != 0) {
-            m_handlers.onOwnDeparture(m_members.self().departedRun);
+        if (node == m_members.self().node && m_members.self().departed.id != 0) {
+            m_handlers.onOwnDeparture(m_members.self().departed);
         }
         if (const auto *entry = m_members.find(node)) {
             m_handlers.onMember(*entry);
@@ -363,13 +363,13 @@
     publishMemberChanges();
 }
 
-void control_path::recordDeparture(std::uint64_t run, std::function<void()> recorded)
+void control_path::recordDeparture(const upstream_run &departed, std::function<void()> recorded)
 {
     std::vector<addressed_gossip> messages;
-    m_members.recordDeparture(run, messages);
+    m_members.recordDeparture(departed, messages);
     send(messages);
     if (m_seedRegistry) {
-        m_seedRegistry->noteDeparture(run, std::move(recorded));
+        m_seedRegistry->noteDeparture(departed, std::move(recorded));
     } else {
         recorded();
     }
@@ -450,8 +450,8 @@
             m_ownDomainSeeds += seed.domain == m_settings.domain && seed.node != m_members.self().node ? 1 : 0;
         }
         noteSeeds(seeds);
-        if (registered.departedRun != 0) {
-            m_handlers.onOwnDeparture(registered.departedRun);
+        if (registered.departed.id != 0) {
+            m_handlers.onOwnDeparture(registered.departed);
         }
         m_settledVersion = std::max(m_settledVersion, registered.settledVersion);
         m_members.setSeeds(std::move(seeds));
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -34,7 +34,7 @@
     std::function<void()> onConfiguration; ///< a new configuration is in force
     std::function<void(const member &)> onMember; ///< a member's entry changed
     std::function<void(const node_id &)> onMemberForgotten;
-    std::function<void(std::uint64_t run)> onOwnDeparture; ///< a run of this node's upstream has deregistered, as an earlier process acknowledged
+    std::function<void(const upstream_run &)> onOwnDeparture; ///< a run of this node's upstream has deregistered, as an earlier process acknowledged
     std::function<void(const noted_conviction &)> onConviction; ///< the store has a note of a request that crashes upstreams
 };
 
@@ -75,7 +75,7 @@
     void setSelf(const std::string &service, bool ready);
     /// Records with the other members and in the store that a run of this node's upstream has deregistered.
     /// @param recorded called when the store has acknowledged it, or at once if there is none
-    void recordDeparture(std::uint64_t run, std::function<void()> recorded);
+    void recordDeparture(const upstream_run &departed, std::function<void()> recorded);
     /// Keeps a note in the store, if there is one, about a request that crashes upstreams.
     void keepConviction(const noted_conviction &conviction, conviction_source source);
     /// Announces to the other members that this node leaves.
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -52,7 +52,7 @@
                 {[this] { onConfigurationChanged(); },
                  [this](const member &entry) { onMemberChanged(entry); },
                  [this](const node_id &node) { m_calls.routes().remove(node); },
-                 [this](std::uint64_t run) { m_upstream.recordDeparture(run); },
+                 [this](const upstream_run &departed) { m_upstream.recordDeparture(departed); },
                  [this](const noted_conviction &noted) { onConvictionRead(noted); }})
     , m_calls(m_loop, settings, m_profile, m_self, m_incarnation, m_seed, callPathCallbacks())
     , m_links(m_loop, {settings.nodes, !settings.trustNetwork || !settings.keyFiles.empty()}, m_self, keys, m_incarnation, linkHandlers())
@@ -71,7 +71,7 @@
               m_calls.onUpstreamGone();
               m_control.setSelf(m_calls.service(), false);
           },
-          [this](std::uint64_t run, std::function<void()> recorded) { m_control.recordDeparture(run, std::move(recorded)); })
+          [this](const upstream_run &departed, std::function<void()> recorded) { m_control.recordDeparture(departed, std::move(recorded)); })
     , m_operators(m_loop, keys)
     , m_api(settings, m_self, m_calls, m_control, [this] { return ready(); })
 {
--- a/bench/tests/seed_registry_test.cpp
+++ b/bench/tests/seed_registry_test.cpp
@@ -89,28 +89,28 @@
 // Guards against an upstream that left being given work again after a restart of its node: all nodes may have lost their memory.
 TEST_F(seed_registry_test, a_departure_is_read_by_the_next_process_of_the_node_and_by_no_other)
 {
-    constexpr std::uint64_t run = 0xfedcba9876543210;
+    constexpr upstream_run run{0xfedcba9876543210, 0x0123456789abcdef, 1'700'000'000'000};
     bool noted = false;
     first.noteDeparture(run, [&] { noted = true; });
     ASSERT_TRUE(holdsWithin({1000}, [&] { return noted; }));
     seed_registry next(loop, client, "test", "east", "127.0.0.1:1001", noVersion);
-    std::vector<std::uint64_t> departures;
+    std::vector<upstream_run> departures;
     for (auto *reader : {&next, &second}) {
         reader->read(read_freshness::current, [&](const seed_listing &listing) {
-            departures.push_back(listing.departedRun);
+            departures.push_back(listing.departed);
             EXPECT_TRUE(listing.seeds.empty()) << "a note is no seed";
         });
     }
     ASSERT_TRUE(holdsWithin({1000}, [&] { return departures.size() == 2; }));
     EXPECT_EQ(std::count(departures.begin(), departures.end(), run), 1);
-    EXPECT_EQ(std::count(departures.begin(), departures.end(), 0U), 1);
+    EXPECT_EQ(std::count(departures.begin(), departures.end(), upstream_run{}), 1);
 }
 
 TEST_F(seed_registry_test, a_departure_is_not_called_noted_while_the_store_is_down)
 {
     platform.faults().down = true;
     bool noted = false;
-    first.noteDeparture(7, [&] { noted = true; });
+    first.noteDeparture({7, 8, 1}, [&] { noted = true; });
     EXPECT_FALSE(holdsWithin({800}, [&] { return noted; }));
 }
 
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -21,7 +21,9 @@
     out.set_state(static_cast<std::uint32_t>(entry.state));
     out.set_version(entry.version);
     out.set_without_store(entry.withoutStore);
-    out.set_departed_run(entry.departedRun);
+    out.set_departed_run(entry.departed.id);
+    out.set_departed_instance(entry.departed.instance);
+    out.set_departed_started_at_ms(entry.departed.startedAt);
 }
 
 std::optional<member> fromWire(const wire::Member &in)
@@ -41,13 +43,15 @@
     entry.state = static_cast<member_state>(in.state());
     entry.version = in.version();
     entry.withoutStore = in.without_store();
-    entry.departedRun = in.departed_run();
+    entry.departed = {in.departed_run(), in.departed_instance(), in.departed_started_at_ms()};
     return entry;
 }
 
 void toWire(const upstream_condition &condition, wire::UpstreamCondition &out)
 {
-    out.set_run(condition.run);
+    out.set_run(condition.run.id);
+    out.set_instance(condition.run.instance);
+    out.set_started_at_ms(condition.run.startedAt);
     out.set_leaving(condition.leaving);
     if (condition.rateLimit) {
         out.set_rate_limit(*condition.rateLimit);
@@ -57,7 +61,7 @@
 upstream_condition fromWire(const wire::UpstreamCondition &in)
 {
     upstream_condition condition;
-    condition.run = in.run();
+    condition.run = {in.run(), in.instance(), in.started_at_ms()};
     condition.leaving = in.leaving();
     if (in.has_rate_limit() && std::isfinite(in.rate_limit()) && in.rate_limit() >= 0) {
         condition.rateLimit = in.rate_limit();
--- a/packages/policy/include/turmericspar/policy/load_balancer.h
+++ b/packages/policy/include/turmericspar/policy/load_balancer.h
@@ -4,6 +4,7 @@
 
 #include "turmericspar/policy/call.h"
 #include "turmericspar/policy/tunables.h"
+#include "turmericspar/policy/upstream_run.h"
 
 #include <array>
 #include <map>
@@ -44,7 +45,7 @@
 /// What an upstream has stated about itself in its answers, as known to a node that received them.
 struct upstream_condition
 {
-    std::uint64_t run = 0; ///< identifies the run of the upstream process; 0 if nothing is known
+    upstream_run run; ///< of which it is known; none if nothing is known
     std::optional<double> rateLimit; ///< requests a second that it takes from all nodes together; nothing if it stated no limit
     bool leaving = false; ///< whether it is about to exit
 };
--- a/packages/policy/include/turmericspar/policy/membership.h
+++ b/packages/policy/include/turmericspar/policy/membership.h
@@ -6,6 +6,7 @@
 #include "turmericspar/base/names.h"
 #include "turmericspar/policy/load_balancer.h"
 #include "turmericspar/policy/token_bucket.h"
+#include "turmericspar/policy/upstream_run.h"
 
 #include <cstdint>
 #include <map>
@@ -40,8 +41,8 @@
     member_state state = member_state::alive;
     std::uint64_t version = 0; ///< configuration version in force, as last received
     bool withoutStore = false; ///< whether the store has not served it lately, so that others watch the store for it
-    /// The run of its upstream that deregistered last; 0 if none is known. It outlives the incarnation: the other members tell it to the node's next process.
-    std::uint64_t departedRun = 0;
+    /// The latest run of its upstream that deregistered. It outlives the incarnation: the other members tell it to the node's next process.
+    upstream_run departed;
 };
 
 /// @return whether a member is alive or suspected, but not yet declared dead.
@@ -115,7 +116,7 @@
     /// Announces whether the store has served this node lately.
     void setWithoutStore(bool withoutStore, std::vector<addressed_gossip> &out);
     /// Announces that a run of this node's upstream has deregistered.
-    void recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out);
+    void recordDeparture(const upstream_run &departed, std::vector<addressed_gossip> &out);
     /// Announces that this node is shutting down.
     void leave(std::vector<addressed_gossip> &out);
     /// Eagerly sends the configuration version that setSelf() has set.
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -72,9 +72,9 @@
     }
 }
 
-void membership::recordDeparture(std::uint64_t run, std::vector<addressed_gossip> &out)
+void membership::recordDeparture(const upstream_run &departed, std::vector<addressed_gossip> &out)
 {
-    m_self.departedRun = run;
+    m_self.departed = laterDeparture(m_self.departed, departed);
     announceSelf(out);
 }
 
@@ -230,9 +230,9 @@
 /// @return whether this node had to correct it, which must be sent eagerly
 bool membership::mergeOwnEntry(const member &update)
 {
-    if (m_self.departedRun == 0 && update.departedRun != 0) {
+    if (const auto latest = laterDeparture(update.departed, m_self.departed); latest != m_self.departed) {
         // An earlier process of this node acknowledged the departure.
-        m_self.departedRun = update.departedRun;
+        m_self.departed = latest;
         m_changed.push_back(m_self.node);
     }
     if (update.incarnation > m_self.incarnation) {
@@ -290,11 +290,11 @@
         m_recentSuspects[update.node] = now;
     }
     const auto version = versionAfter(update, known);
-    const auto departedRun = update.departedRun != 0 ? update.departedRun : known.departedRun;
+    const auto departed = laterDeparture(known.departed, update.departed);
     m_digest ^= digestOf(known);
     known = update;
     known.version = version;
-    known.departedRun = departedRun;
+    known.departed = departed;
     m_digest ^= digestOf(known);
     m_tableChangedAt = now;
     if (how == dissemination::gossip) {
--- a/packages/policy/tests/membership_test.cpp
+++ b/packages/policy/tests/membership_test.cpp
@@ -400,7 +400,7 @@
 // Guards against an upstream that left being given work again: its node starts anew and must learn of the departure from the others.
 TEST(membership, a_restarted_node_learns_of_the_departure_of_its_upstream_that_it_acknowledged_before)
 {
-    constexpr std::uint64_t run = 4711;
+    constexpr upstream_run run{4711, 42, 1000};
     for (const int count : {2, 5, 20}) {
         gossip_net net(count);
         net.run({20'000});
@@ -413,12 +413,27 @@
         net.run({300});
         net.start(1);
         net.run({2000});
-        EXPECT_EQ(net.nodes[restarted]->self().departedRun, run) << count;
+        EXPECT_EQ(net.nodes[restarted]->self().departed, run) << count;
         const auto changed = net.nodes[restarted]->takeChangedNodes();
         EXPECT_NE(std::find(changed.begin(), changed.end(), restarted), changed.end()) << "the rest of the node must be told";
     }
 }
 
+TEST(membership, of_two_departures_of_one_upstream_the_later_one_is_kept)
+{
+    const upstream_run earlier{1, 42, 1000};
+    const upstream_run later{2, 42, 2000};
+    EXPECT_EQ(laterDeparture(earlier, later), later);
+    EXPECT_EQ(laterDeparture(later, earlier), later);
+    EXPECT_EQ(laterDeparture(later, {}), later);
+    EXPECT_EQ(laterDeparture({}, earlier), earlier);
+    EXPECT_TRUE(earlier.precedes(later));
+    EXPECT_FALSE(later.precedes(earlier));
+    EXPECT_FALSE(later.precedes(later));
+    EXPECT_FALSE((upstream_run{1, 41, 1000}.precedes(later))) << "another instance";
+    EXPECT_FALSE((upstream_run{1, 42, 0}.precedes(later))) << "its start is not known";
+}
+
 RC_GTEST_PROP(membership, updates_in_any_order_give_the_same_table, ())
 {
     const auto entries =
--- a/packages/store/include/turmericspar/store/seed_registry.h
+++ b/packages/store/include/turmericspar/store/seed_registry.h
@@ -3,6 +3,7 @@
 /// finds members to join.
 #pragma once
 
+#include "turmericspar/policy/upstream_run.h"
 #include "turmericspar/store/store.h"
 
 #include <functional>
@@ -27,7 +28,7 @@
     /// Highest version that nodes had in force after the present epoch of the store had settled; nothing if none has noted that. A store with
     /// this version lacks nothing of what an earlier epoch had.
     std::optional<std::uint64_t> settledVersion;
-    std::uint64_t departedRun = 0; ///< the run of the reading node's upstream that deregistered last, as noted by an earlier process; 0 if none is noted
+    upstream_run departed; ///< the run of the reading node's upstream that deregistered last, as noted by an earlier process
 };
 
 /// Registers this node's address while it is enabled, and reads the registered addresses of all nodes.
@@ -53,7 +54,7 @@
     void setRegistered(bool registered);
     /// Notes that a run of this node's upstream has deregistered, so that the next process of this node knows it.
     /// @param done called when the store has acknowledged the note; never called if it does not
-    void noteDeparture(std::uint64_t run, std::function<void()> done);
+    void noteDeparture(const upstream_run &departed, std::function<void()> done);
     /// Reads all registrations; gives an empty list if the store can't be reached.
     void read(read_freshness freshness, seeds_handler done);
 
--- a/packages/store/src/seed_registry.cpp
+++ b/packages/store/src/seed_registry.cpp
@@ -27,14 +27,25 @@
 /// How long that note is kept: far longer than announcements are late.
 constexpr millis departedTtl{120'000};
 constexpr int hexadecimal = 16;
+constexpr int decimal = 10;
 
-/// @return the run that a note of a departure states; 0 if it is malformed.
-std::uint64_t departedRun(const std::string &text)
+/// @return the run that a note of a departure states: its id and instance in hexadecimal digits, and its start. None if it is malformed.
+upstream_run departedRun(const std::string &text)
 {
-    std::uint64_t run = 0;
+    upstream_run run;
     const auto *const last = text.data() + text.size();
-    const auto [end, error] = std::from_chars(text.data(), last, run, hexadecimal);
-    return error == std::errc{} && end == last ? run : 0;
+    const auto read = [&](const char *from, std::uint64_t &number, int base) -> const char * {
+        const auto [end, error] = std::from_chars(from, last, number, base);
+        return error == std::errc{} ? end : nullptr;
+    };
+    const auto follows = [&](const char *position) { return position && position != last && *position == ' '; };
+    const auto *end = read(text.data(), run.id, hexadecimal);
+    if (end == last) {
+        return run; // written by an earlier version, which stated the id alone
+    }
+    end = follows(end) ? read(end + 1, run.instance, hexadecimal) : nullptr;
+    end = follows(end) ? read(end + 1, run.startedAt, decimal) : nullptr;
+    return end == last ? run : upstream_run{};
 }
 
 /// @return the version that a note states for an epoch; nothing if it is malformed or of another epoch.
@@ -219,20 +230,23 @@
     });
 }
 
-void seed_registry::noteDeparture(std::uint64_t run, std::function<void()> done)
+void seed_registry::noteDeparture(const upstream_run &departed, std::function<void()> done)
 {
-    m_store.openLease(departedTtl, [this, run, done = std::move(done)](const result<std::string> &lease) {
+    m_store.openLease(departedTtl, [this, departed, done = std::move(done)](const result<std::string> &lease) {
         if (!lease) {
             logFailure(log_level::warning, "departure_not_noted", lease.error());
             return;
         }
-        m_store.putUnderLease(m_key + departedSuffix, fmt::format("{:016x}", run), *lease, [done](const write_result &result) {
-            if (result.outcome == write_outcome::applied) {
-                done();
-            } else {
-                logFailure(log_level::warning, "departure_not_noted", result.error);
-            }
-        });
+        m_store.putUnderLease(m_key + departedSuffix,
+                              fmt::format("{:016x} {:016x} {}", departed.id, departed.instance, departed.startedAt),
+                              *lease,
+                              [done](const write_result &result) {
+                                  if (result.outcome == write_outcome::applied) {
+                                      done();
+                                  } else {
+                                      logFailure(log_level::warning, "departure_not_noted", result.error);
+                                  }
+                              });
     });
 }
 
@@ -252,7 +266,7 @@
         if (entry.key.ends_with(settledSuffix)) {
             parsed.settledVersion = std::max(parsed.settledVersion, settledVersion(entry.value, m_store.epoch()));
         } else if (entry.key.ends_with(departedSuffix)) {
-            parsed.departedRun = entry.key == m_key + departedSuffix ? departedRun(entry.value) : parsed.departedRun;
+            parsed.departed = entry.key == m_key + departedSuffix ? departedRun(entry.value) : parsed.departed;
         } else if (const auto address = endpoint::parse(entry.value); address && address->port != 0) {
             parsed.seeds.push_back({relativeKey.substr(0, relativeKey.find('/')), entry.value});
         }
--- a/packages/upstream/include/turmericspar/upstream/announcement.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement.h
@@ -67,7 +67,7 @@
     using announcement_handler = std::function<void(const announcement &)>;
     using loss_handler = std::function<void(const std::string &reason)>;
     /// Records that a run has deregistered, and calls `recorded` when that would survive this process.
-    using departure_handler = std::function<void(std::uint64_t run, std::function<void()> recorded)>;
+    using departure_handler = std::function<void(const upstream_run &departed, std::function<void()> recorded)>;
 
     announcement_server(event_loop &loop,
                         announcement_options options,
@@ -78,8 +78,7 @@
 
     result<endpoint> listen() { return m_server.listen(m_options.listen); }
     /// Applies a departure that an earlier process of this node has acknowledged.
-    /// @param run see runOf()
-    void recordDeparture(std::uint64_t run);
+    void recordDeparture(const upstream_run &departed);
 
 private:
     void handleRequest(const http_exchange_ptr &exchange);
--- a/packages/upstream/include/turmericspar/upstream/announcement_order.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement_order.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "turmericspar/base/clock.h"
+#include "turmericspar/policy/upstream_run.h"
 
 #include <cstdint>
 #include <deque>
@@ -19,13 +20,15 @@
     std::optional<std::uint64_t> sequence; ///< increases within one run
 };
 
-/// @return a number that identifies a run of the upstream process on all nodes; 0 if its announcements do not tell runs apart.
-std::uint64_t runOf(const announcement_position &position);
+/// @return the run of the upstream process that an announcement belongs to.
+upstream_run runOf(const announcement_position &position);
 
 /// Tracks the newest announcement of this node's upstream. Does no I/O and reads no clock.
 /// What an announcement states may be wrong: the wall clock of the upstream may be set back between two of its runs, and another writer may state any
 /// start or sequence. What is announced again and again with no word of the current run in between is therefore accepted all the same: a run that
 /// was not seen before after a few announcements, an earlier one or an earlier sequence only when they also span more time than late messages do.
+/// Who has left is an order: the departure of a run covers all runs under the same instance name that started before
+/// it, also those of which this process never heard.
 class announcement_order
 {
 public:
@@ -35,14 +38,15 @@
     /// Processes a deregistration, by which an instance states that it accepts no new calls.
     /// @return whether it concerns the current run of the upstream, or a run that is not known yet
     bool acceptDeregistration(const announcement_position &position);
-    /// Records that a run has deregistered, as an earlier process of this node acknowledged: its late announcements are ignored.
-    /// @return whether it is the current run, which was announced until now
-    bool recordDeparture(std::uint64_t run);
-    /// @return the run that deregistered last; 0 if none did or runs can't be told apart.
-    std::uint64_t lastDeparture() const { return m_departed.empty() ? 0 : m_departed.back(); }
+    /// Records that a run has deregistered, as an earlier process of this node acknowledged: its late announcements and those of earlier runs are ignored.
+    /// @return whether it covers the current run, which was announced until now
+    bool recordDeparture(const upstream_run &departed);
+    /// @return the run that deregistered last; none if none did or runs can't be told apart.
+    upstream_run lastDeparture() const { return m_departed.empty() ? upstream_run{} : m_departed.back(); }
 
 private:
     bool hasDeparted(const announcement_position &position) const;
+    bool precedesDeparture(const announcement_position &position) const;
     bool isNewRun(const announcement_position &position) const;
     bool isPersistent(const announcement_position &position, millis now);
     void startRun(const announcement_position &position);
@@ -54,7 +58,7 @@
     announcement_position m_candidate; ///< the last announcement of those in a row that were not newer than the newest one
     int m_candidateCount = 0; ///< their number
     millis m_candidateSince; ///< when the first of them arrived
-    std::deque<std::uint64_t> m_departed; ///< runs that deregistered, the last one at the end
+    std::deque<upstream_run> m_departed; ///< runs that deregistered, the last one at the end
 };
 
 } // namespace turmericspar
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -138,9 +138,9 @@
     return m_isPresent && m_options.knowsService && content.service != m_service && !m_options.knowsService(content.service);
 }
 
-void announcement_server::recordDeparture(std::uint64_t run)
+void announcement_server::recordDeparture(const upstream_run &departed)
 {
-    if (m_order.recordDeparture(run)) {
+    if (m_order.recordDeparture(departed)) {
         reportLost("deregistered before this node started");
     }
 }
@@ -149,11 +149,11 @@
 void announcement_server::deregister(const http_exchange_ptr &exchange, const announcement &content)
 {
     const bool current = m_order.acceptDeregistration({content.instance, content.startedAt, content.sequence});
-    const auto run = m_order.lastDeparture();
+    const auto departed = m_order.lastDeparture();
     if (current) {
         reportLost("said goodbye");
     }
-    if (run == 0) {
+    if (departed.id == 0) {
         exchange->respond({204, {}, {}});
         return;
     }
@@ -162,7 +162,7 @@
         logEvent(log_level::warning, "departure_not_recorded", {{"peer", exchange->peer().text()}, {"span_ms", m_options.recordTimeout}});
         m_loop.defer([this, id, exchange] { acknowledge(id, exchange); });
     });
-    m_onDeparture(run, [this, id, exchange] { acknowledge(id, exchange); });
+    m_onDeparture(departed, [this, id, exchange] { acknowledge(id, exchange); });
 }
 
 /// Acknowledges a deregistration, if that was not done before.
--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -29,38 +29,58 @@
 
 } // namespace
 
-std::uint64_t runOf(const announcement_position &position)
+upstream_run runOf(const announcement_position &position)
 {
     if (position.instance.empty() && !position.startedAt) {
-        return 0;
+        return {};
     }
-    return stableHash(position.instance + "\n" + std::to_string(position.startedAt.value_or(0)));
+    const auto startedAt = position.startedAt.value_or(0);
+    return {stableHash(position.instance + "\n" + std::to_string(startedAt)), stableHash(position.instance), startedAt};
 }
 
 bool announcement_order::hasDeparted(const announcement_position &position) const
 {
     const auto run = runOf(position);
-    return run != 0 && std::find(m_departed.begin(), m_departed.end(), run) != m_departed.end();
+    return run.id != 0 && std::any_of(m_departed.begin(), m_departed.end(), [&](const upstream_run &departed) { return departed.id == run.id; });
 }
 
-bool announcement_order::recordDeparture(std::uint64_t run)
+/// @return whether a later run of the same instance has left, so that what arrives is probably late.
+bool announcement_order::precedesDeparture(const announcement_position &position) const
 {
-    if (run == 0) {
+    const auto run = runOf(position);
+    return std::any_of(m_departed.begin(), m_departed.end(), [&](const upstream_run &departed) { return run.precedes(departed); });
+}
+
+bool announcement_order::recordDeparture(const upstream_run &departed)
+{
+    if (departed.id == 0) {
         return false;
     }
-    std::erase(m_departed, run);
-    m_departed.push_back(run);
+    std::erase_if(m_departed, [&](const upstream_run &known) { return known.id == departed.id; });
+    m_departed.push_back(departed);
     if (m_departed.size() > departedMax) {
         m_departed.pop_front();
     }
-    const bool current = m_known && !m_deregistered && run == runOf(m_newest);
-    m_deregistered = m_deregistered || current;
-    return current;
+    const bool present = m_known && !m_deregistered;
+    if (present && departed.id == runOf(m_newest).id) {
+        m_deregistered = true;
+        return true;
+    }
+    if (present && precedesDeparture(m_newest)) {
+        // A late announcement made it the current run. If it is there after all, since the clock was set back, it comes back by persisting.
+        m_known = false;
+        m_newest = {};
+        return true;
+    }
+    return false;
 }
 
 /// @return whether an announcement comes from a later run than the current one.
 bool announcement_order::isNewRun(const announcement_position &position) const
 {
+    if (precedesDeparture(position)) {
+        return false;
+    }
     if (!m_known) {
         return true;
     }
@@ -84,8 +104,8 @@
     }
     ++m_candidateCount;
     m_candidate = position;
-    const bool seenBefore = isSameRun(position, m_newest) || isSameRun(position, m_previous);
-    return m_candidateCount >= persistentCount && (!seenBefore || now - m_candidateSince >= persistentSpan);
+    const bool mayBeLate = isSameRun(position, m_newest) || isSameRun(position, m_previous) || precedesDeparture(position);
+    return m_candidateCount >= persistentCount && (!mayBeLate || now - m_candidateSince >= persistentSpan);
 }
 
 void announcement_order::startRun(const announcement_position &position)
@@ -127,8 +147,7 @@
 bool announcement_order::acceptDeregistration(const announcement_position &position)
 {
     if (m_known && !position.instance.empty() && !isSameRun(position, m_newest)) {
-        recordDeparture(runOf(position));
-        return false;
+        return recordDeparture(runOf(position));
     }
     if (!m_known) {
         // A node that has just started may receive the deregistration first: late announcements of that run must then be ignored.
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -203,4 +203,46 @@
     }
 }
 
+// Guards against an upstream that left being given work again: its node was restarted, and a heartbeat of the run before its last was late.
+TEST(announcement_order, a_departure_covers_the_earlier_runs_of_the_instance)
+{
+    const auto departed = runOf({"a", 2000, std::nullopt});
+    announcement_order started;
+    EXPECT_FALSE(started.recordDeparture(departed));
+    EXPECT_FALSE(started.acceptAnnouncement({"a", 1000, 7}, now));
+    EXPECT_FALSE(started.acceptAnnouncement({"a", 1999, 8}, now));
+    EXPECT_TRUE(started.acceptAnnouncement({"a", 2001, 1}, now)) << "a new run";
+
+    announcement_order learnsLate;
+    EXPECT_TRUE(learnsLate.acceptAnnouncement({"a", 1000, 7}, now));
+    EXPECT_TRUE(learnsLate.recordDeparture(departed)) << "what was taken for the current run is gone";
+    EXPECT_FALSE(learnsLate.acceptAnnouncement({"a", 1000, 8}, now));
+
+    announcement_order hearsIt;
+    EXPECT_TRUE(hearsIt.acceptAnnouncement({"a", 1000, 7}, now));
+    EXPECT_TRUE(hearsIt.acceptDeregistration({"a", 2000, std::nullopt})) << "a run of which nothing was heard before";
+    EXPECT_FALSE(hearsIt.acceptAnnouncement({"a", 1000, 8}, now));
+    EXPECT_FALSE(hearsIt.acceptAnnouncement({"a", 2000, 8}, now));
+}
+
+TEST(announcement_order, a_departure_covers_no_run_of_another_instance)
+{
+    announcement_order order;
+    EXPECT_FALSE(order.recordDeparture(runOf({"a", 2000, std::nullopt})));
+    EXPECT_TRUE(order.acceptAnnouncement({"b", 1000, 1}, now));
+    EXPECT_FALSE(order.recordDeparture(runOf({"a", 3000, std::nullopt})));
+    EXPECT_TRUE(order.acceptAnnouncement({"b", 1000, 2}, now));
+}
+
+// Guards against an upstream that is out of use for good because its clock was set back between its departure and its next run.
+TEST(announcement_order, a_run_that_states_a_start_before_a_departure_comes_back_by_persisting)
+{
+    announcement_order order;
+    EXPECT_FALSE(order.recordDeparture(runOf({"a", 2000, std::nullopt})));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", 1000, 1}, {0}));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", 1000, 2}, {1500}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 3}, {3000}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 4}, {4500}));
+}
+
 } // namespace
--- a/packages/upstream/tests/announcement_test.cpp
+++ b/packages/upstream/tests/announcement_test.cpp
@@ -67,8 +67,8 @@
             readNotice,
             [this](const announcement &received) { accepted.push_back(received.instance); },
             [this](const std::string &) { ++losses; },
-            [this](std::uint64_t run, std::function<void()> recorded) {
-                departures.push_back(run);
+            [this](const upstream_run &departed, std::function<void()> recorded) {
+                departures.push_back(departed);
                 if (records) {
                     recorded();
                 }
@@ -104,7 +104,7 @@
 
     event_loop loop;
     std::vector<std::string> accepted;
-    std::vector<std::uint64_t> departures;
+    std::vector<upstream_run> departures;
     int losses = 0;
     bool records = true;
     announcement_server server;
@@ -134,7 +134,7 @@
     const millis before = monotonicNow();
     EXPECT_EQ(send("DELETE", ""), 204);
     EXPECT_LT((monotonicNow() - before).count, 900);
-    EXPECT_EQ(departures, (std::vector<std::uint64_t>{runOf({"a", 1000, std::nullopt})}));
+    EXPECT_EQ(departures, (std::vector<upstream_run>{runOf({"a", 1000, std::nullopt})}));
     EXPECT_EQ(losses, 1);
 
     EXPECT_EQ(announce("b", "s", 2000), 204);
