Two odd heartbeats do not keep an upstream out of use

Cause: the last of the announcements in a row that were not newer was the measure of the next one; the odd sequence stayed there.

Change: a lower sequence begins a new row instead of being ignored. A start beyond the year 2100 or a sequence beyond 10^12 is no order: such a notice is ignored with a log line, also a goodbye.

--- a/packages/upstream/include/turmericspar/upstream/announcement.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement.h
@@ -83,6 +83,7 @@
 private:
     void handleRequest(const http_exchange_ptr &exchange);
     bool namesOtherService(const announcement &content) const;
+    bool ignoresOddNotice(const upstream_notice &notice) const;
     void deregister(const http_exchange_ptr &exchange, const announcement &content);
     void acknowledge(std::uint64_t record, const http_exchange_ptr &exchange);
     void reportLost(const std::string &reason);
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t serviceNameMax = 200;
 constexpr std::size_t instanceNameMax = 200;
 constexpr std::size_t announcementBytesMax = 16 * 1024;
+/// Start and sequence that no clock and no run will have reached: the year 2100, and an announcement each millisecond for thirty years.
+constexpr std::uint64_t startMax = 4'102'444'800'000;
+constexpr std::uint64_t sequenceMax = 1'000'000'000'000;
 
 http_server_options announcementOptions()
 {
@@ -138,6 +141,21 @@
     return m_isPresent && m_options.knowsService && content.service != m_service && !m_options.knowsService(content.service);
 }
 
+/// Logs a notice of another writer, by which no upstream is displaced.
+/// @return whether the notice is one
+bool announcement_server::ignoresOddNotice(const upstream_notice &notice) const
+{
+    const auto &content = notice.content;
+    const bool implausible = content.startedAt.value_or(0) > startMax || content.sequence.value_or(0) > sequenceMax;
+    const bool otherService = notice.type == upstream_notice::kind::announced && namesOtherService(content);
+    if (implausible || otherService) {
+        logEvent(log_level::warning,
+                 "announcement_ignored",
+                 {{"instance", content.instance}, {"service", content.service}, {"reason", implausible ? "implausible start or sequence" : "unknown service"}});
+    }
+    return implausible || otherService;
+}
+
 void announcement_server::recordDeparture(const upstream_run &departed)
 {
     if (m_order.recordDeparture(departed)) {
@@ -187,13 +205,15 @@
 
     // Step 2. Apply it only if it is the newest; an outdated message is acknowledged as well
     const auto &content = notice->content;
+    if (ignoresOddNotice(*notice)) {
+        exchange->respond({204, {}, {}});
+        return;
+    }
     if (notice->type == upstream_notice::kind::deregistered) {
         deregister(exchange, content);
         return;
     }
-    if (namesOtherService(content)) {
-        logEvent(log_level::warning, "announcement_ignored", {{"instance", content.instance}, {"service", content.service}, {"reason", "unknown service"}});
-    } else if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence}, monotonicNow())) {
+    if (m_order.acceptAnnouncement({content.instance, content.startedAt, content.sequence}, monotonicNow())) {
         m_isPresent = true;
         m_service = content.service;
         m_timeoutTimer->restart(m_options.timeout);
--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -94,10 +94,12 @@
 /// @return whether they show that this run is the current one
 bool announcement_order::isPersistent(const announcement_position &position, millis now)
 {
-    const bool continues = m_candidateCount > 0 && isSameRun(position, m_candidate);
-    if (continues && !isLaterInRun(position, m_candidate)) {
+    const bool sameRun = m_candidateCount > 0 && isSameRun(position, m_candidate);
+    if (sameRun && position.sequence && position.sequence == m_candidate.sequence) {
         return false;
     }
+    // Nothing true could follow an odd sequence: one that is lower begins a new row.
+    const bool continues = sameRun && isLaterInRun(position, m_candidate);
     if (!continues) {
         m_candidateCount = 0;
         m_candidateSince = now;
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 #include <limits>
+#include <rapidcheck/gtest.h>
+#include <tuple>
+#include <vector>
 
 namespace {
 
@@ -245,4 +248,45 @@
     EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 4}, {4500}));
 }
 
+// Guards against an upstream that is out of use for good: one odd announcement displaced it, and one under its own id states a sequence that nothing
+// true will ever exceed.
+TEST(announcement_order, two_odd_announcements_keep_an_upstream_out_of_use_for_a_few_announcements_only)
+{
+    announcement_order order;
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 1}, {0}));
+    EXPECT_TRUE(order.acceptAnnouncement({"odd", 5000, 1}, {100}));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", 1000, std::numeric_limits<std::uint64_t>::max()}, {200}));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", 1000, 2}, {1500}));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", 1000, 3}, {3000}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 4}, {4500}));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 5}, {6000}));
+}
+
+// The invariant: whatever was announced before, true announcements in a row bring the upstream back.
+RC_GTEST_PROP(announcement_order, a_few_true_announcements_in_a_row_are_enough_after_any_odd_ones, ())
+{
+    constexpr std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
+    const std::vector<std::string> instances{"a", "b", "odd", ""};
+    const std::vector<std::uint64_t> starts{0, 999, 1000, 1001, 5000, largest};
+    const std::vector<std::uint64_t> sequences{0, 1, 50, 99, 102, largest};
+    const auto odd =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(0, 7), rc::gen::inRange(0, 7)));
+    announcement_order order;
+    order.acceptAnnouncement({"a", 1000, 10}, {0});
+    millis at{100};
+    const auto pick = [](const std::vector<std::uint64_t> &values, int index) {
+        return static_cast<std::size_t>(index) < values.size() ? std::optional<std::uint64_t>(values[static_cast<std::size_t>(index)]) : std::nullopt;
+    };
+    for (const auto &[instance, start, sequence] : odd) {
+        order.acceptAnnouncement({instances[static_cast<std::size_t>(instance)], pick(starts, start), pick(sequences, sequence)}, at);
+        at += millis{10};
+    }
+    bool accepted = false;
+    for (std::uint64_t sequence = 100; sequence < 105; ++sequence) {
+        at += millis{1500};
+        accepted = order.acceptAnnouncement({"a", 1000, sequence}, at);
+    }
+    RC_ASSERT(accepted);
+}
+
 } // namespace
--- a/packages/upstream/tests/announcement_test.cpp
+++ b/packages/upstream/tests/announcement_test.cpp
@@ -120,6 +120,17 @@
     EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
 }
 
+// Guards against an upstream that is displaced by a start that no clock has reached, and against a goodbye that would cover all its runs.
+TEST_F(announcements, a_start_or_sequence_beyond_any_clock_displaces_no_upstream)
+{
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    EXPECT_EQ(announce("odd", "s", 9'223'372'036'854'775'808U), 204);
+    EXPECT_EQ(announce("a", "s", 18'446'744'073'709'551'615U), 204);
+    EXPECT_EQ(announce("b", "s", 2000), 204);
+    EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(losses, 0);
+}
+
 TEST_F(announcements, the_first_upstream_may_have_a_service_that_is_not_configured_yet)
 {
     EXPECT_EQ(announce("a", "new", 1000), 204);
