Calls that a living upstream breaks off are no crash

Cause: any error of a sent call but a timeout counted as a broken call, and one broken call of one running was a crash. Ruled out: upstreams that are really gone (they accepted connections all the while).

Change: only connections that the upstream ended count; before requests are suspected the node connects to the upstream, which lives if it accepts.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -239,6 +239,36 @@
     }
 }
 
+/// Finds out whether calls broke because the upstream crashed: it then accepts no connections any more.
+void call_path::investigateCrash()
+{
+    if (m_probe) {
+        return;
+    }
+    if (!m_suspects.crashLikely(monotonicNow())) {
+        concludeCrash(true);
+        return;
+    }
+    m_probe = std::make_unique<http_client>(m_loop, m_announcement.address, http_limits{});
+    m_probe->connect(m_settings.connectTimeout, [this] {
+        const bool lives = m_probe->open();
+        m_loop.defer([this, lives] {
+            m_probe.reset();
+            concludeCrash(lives);
+        });
+    });
+}
+
+/// Decides which requests are suspected, and tells the other nodes.
+void call_path::concludeCrash(bool upstreamLives)
+{
+    m_suspects.tick(monotonicNow(), upstreamLives);
+    const auto updates = m_suspects.takeUpdates();
+    if (!updates.empty()) {
+        m_callbacks.broadcastSuspicions(updates);
+    }
+}
+
 void call_path::tick()
 {
     m_tickAt = never;
@@ -249,11 +279,7 @@
     std::vector<admission_action> servingActions;
     m_serving.tick(now, servingActions);
     execute(servingActions);
-    m_suspects.tick(now);
-    const auto updates = m_suspects.takeUpdates();
-    if (!updates.empty()) {
-        m_callbacks.broadcastSuspicions(updates);
-    }
+    investigateCrash();
     offerNextSuspect();
     handleSilentConnections();
     resizeConnectionPool();
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -200,6 +200,8 @@
     void refuseImmediately(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
     void offerNextSuspect();
+    void investigateCrash();
+    void concludeCrash(bool upstreamLives);
     void execute(const std::vector<dispatch_action> &actions);
     void execute(const std::vector<admission_action> &actions);
     void forward(const dispatch_action &action);
@@ -261,6 +263,7 @@
     upstream_pool m_pool;
     silence_detector m_silence;
     suspects m_suspects;
+    std::unique_ptr<http_client> m_probe; ///< connects to the upstream to see whether it lives; null while no crash is under investigation
     std::unordered_map<request_digest, std::string> m_refusedElsewhere; ///< service of each request that nodes of another service refused as convicted
     std::deque<call_id> m_waitingSuspects; ///< suspects that are not yet offered to the upstream
     call_id m_activeSuspect = 0; ///< the only suspect that is queued or running at the upstream; 0 if there is none
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -358,7 +358,8 @@
     }
     const auto found = m_upstreamCalls.find(id);
     if (found != m_upstreamCalls.end()) {
-        const bool connectionBroke = outcome.error && outcome.sent && outcome.error != errc::timeout;
+        // A connection that this node closed, because of the time or of what it read, shows no crash.
+        const bool connectionBroke = outcome.error == errc::connection_broken && outcome.sent;
         if (connectionBroke) {
             m_suspects.recordBrokenCall(found->second.digest, m_serving.running(), monotonicNow());
         } else if (!outcome.error) {
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -64,8 +64,11 @@
     void recordBrokenCall(request_digest digest, std::size_t running, millis now);
     /// Clears a suspected request that ran to completion.
     void recordCompletedCall(request_digest digest, millis now);
+    /// @return whether so many calls broke within the crash window, which is over, that the upstream may have crashed.
+    bool crashLikely(millis now) const;
     /// Decides, once the crash window is over, whether the broken calls were a crash.
-    void tick(millis now);
+    /// @param upstreamLives whether the upstream still accepts connections: it then broke off these calls, and has not crashed
+    void tick(millis now, bool upstreamLives = false);
 
     /// @return whether a decision of tick() is pending, or updates wait to be taken.
     bool needsTick() const { return !m_broken.empty() || !m_updates.empty(); }
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -80,14 +80,20 @@
     m_updates.push_back(cleared);
 }
 
-void suspects::tick(millis now)
+bool suspects::crashLikely(millis now) const
+{
+    const bool decided = !m_broken.empty() && now - m_windowStart >= m_tuning.crashWindow;
+    return decided && static_cast<double>(m_broken.size()) >= m_tuning.crashShare * static_cast<double>(m_runningAtWindowStart);
+}
+
+void suspects::tick(millis now, bool upstreamLives)
 {
     if (m_broken.empty() || now - m_windowStart < m_tuning.crashWindow) {
         return;
     }
+    const bool crashed = crashLikely(now) && !upstreamLives;
     const auto broken = std::exchange(m_broken, {});
-    const bool crash = static_cast<double>(broken.size()) >= m_tuning.crashShare * static_cast<double>(m_runningAtWindowStart);
-    if (!crash) {
+    if (!crashed) {
         return;
     }
     const auto suspected = [&](request_digest digest) { return level(digest, now) == suspicion_level::suspect; };
--- a/packages/policy/tests/suspects_test.cpp
+++ b/packages/policy/tests/suspects_test.cpp
@@ -31,6 +31,24 @@
     EXPECT_EQ(table.level(innocent, {1200}), suspicion_level::suspect);
 }
 
+// Guards against a frequent request that is refused everywhere because one faulty upstream broke off its answers.
+TEST(suspects, calls_that_a_living_upstream_breaks_off_are_no_crash)
+{
+    suspects table({});
+    for (int turn = 0; turn < 5; ++turn) {
+        const millis now{turn * 1000.0};
+        table.recordBrokenCall(innocent, 1, now);
+        EXPECT_FALSE(table.crashLikely(now));
+        EXPECT_TRUE(table.crashLikely(now + millis{60}));
+        table.tick(now + millis{60}, true);
+        EXPECT_FALSE(table.needsTick());
+        EXPECT_EQ(table.level(innocent, now + millis{60}), suspicion_level::none);
+    }
+    table.recordBrokenCall(poison, 1, {9000});
+    table.tick({9100});
+    EXPECT_EQ(table.level(poison, {9100}), suspicion_level::suspect);
+}
+
 TEST(suspects, a_single_broken_connection_among_many_is_no_crash)
 {
     suspects table({});
