--- a/bench/tests/poison_daemon_test.cpp
+++ b/bench/tests/poison_daemon_test.cpp
@@ -7,7 +7,9 @@
 #include "turmericspar/base/secret.h"
 #include "turmericspar/caller/call_fields.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <future>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -22,24 +24,24 @@
 /// Crashes after which a request must have been convicted, with some to spare for tries that meet an upstream that is not back yet.
 constexpr int triesMax = 20;
 
-trace_upstream makeUpstream(const std::string &service, const std::string &domain)
+trace_upstream makeUpstream(const std::string &service, const std::string &domain, millis serviceTime = {20})
 {
     trace_upstream upstream;
     upstream.domain = domain;
     upstream.shape.service = service;
     upstream.shape.slots = 20;
     upstream.shape.connections = 50;
-    upstream.shape.serviceTime = {20};
+    upstream.shape.serviceTime = serviceTime;
+    upstream.shape.spread = time_spread::constant;
     return upstream;
 }
 
-/// Two nodes of "manuals" and one of "desk", where the request enters first.
+/// By default two nodes of "manuals" and one of "desk", where the request enters first.
 class poison_daemon_test : public testing::Test
 {
 protected:
     void start(const std::vector<trace_event> &events)
     {
-        plan.upstreams = {makeUpstream("manuals", "east"), makeUpstream("manuals", "west"), makeUpstream("desk", "west")};
         plan.events = events;
         const endpoint platform{"127.0.0.1", firstPort - 1};
         const auto daemon = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path() / "bin/turmericspard";
@@ -54,12 +56,14 @@
     ~poison_daemon_test() override
     {
         nodes->stop();
-        standins->stop();
+        if (standins) {
+            standins->stop();
+        }
     }
 
     void waitUntilReady()
     {
-        ASSERT_TRUE(waitForAll(nodes->nodes(), token, [](const json &status) { return everyUpstreamIsReady(status, 3); }));
+        ASSERT_TRUE(waitForAll(nodes->nodes(), token, [this](const json &status) { return everyUpstreamIsReady(status, plan.upstreams.size()); }));
     }
 
     void killAndStart(const std::vector<std::size_t> &indexes)
@@ -73,15 +77,22 @@
         waitUntilReady();
     }
 
-    /// @return why a request got no answer of an upstream.
-    std::string reasonAt(std::size_t node)
+    /// Sends a request of "manuals" and waits for the answer.
+    /// @param leaveAfter time after which the caller disconnects
+    result<http_response> call(std::size_t node, const std::string &target, const std::string &id, millis leaveAfter = patience)
     {
         http_request made;
-        made.target = "/poison-same";
+        made.target = target;
         made.fields.add("Host", "manuals");
-        made.fields.add(field::requestId, "r");
-        made.fields.add(field::deadline, "2000");
-        const auto answer = callAndWait(nodes->nodes()[node].callers, made, patience);
+        made.fields.add(field::requestId, id);
+        made.fields.add(field::deadline, "4000");
+        return callAndWait(nodes->nodes()[node].callers, made, leaveAfter);
+    }
+
+    /// @return why the request that crashes upstreams got no answer of one.
+    std::string reasonAt(std::size_t node)
+    {
+        const auto answer = call(node, "/poison-same", "r");
         return answer ? answer->fields.get(field::reason) : answer.error().text();
     }
 
@@ -96,7 +107,11 @@
     }
 
     const std::string convicted{refusalNames.name(refusal_reason::suspect)};
-    trace plan;
+    trace plan = [] {
+        trace deployment;
+        deployment.upstreams = {makeUpstream("manuals", "east"), makeUpstream("manuals", "west"), makeUpstream("desk", "west")};
+        return deployment;
+    }();
     std::unique_ptr<fleet> nodes;
     std::unique_ptr<standin_thread> standins;
     std::string token;
@@ -129,4 +144,32 @@
     }
 }
 
+// Guards against requests that wait to be run alone after a crash, and are run though their callers have left.
+TEST_F(poison_daemon_test, a_suspect_whose_caller_has_left_is_not_run)
+{
+    plan.upstreams = {makeUpstream("manuals", "east", {1200}), makeUpstream("desk", "west")};
+    start({});
+    const std::size_t desk = 1;
+    auto inFlight = std::async(std::launch::async, [&] { return call(desk, "/slow", "in-flight"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    call(desk, "/poison-once", "poison");
+    inFlight.get();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000)); // until the upstream is back
+    waitUntilReady();
+
+    auto alone = std::async(std::launch::async, [&] { return call(desk, "/slow", "alone"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    EXPECT_FALSE(call(desk, "/slow", "left", {300}));
+    const auto answer = alone.get();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    const auto records = std::exchange(standins, nullptr)->stop();
+    const auto ran = [&](const std::string &id) {
+        return std::count_if(records.begin(), records.end(), [&](const run_record &record) { return record.root == id; });
+    };
+    EXPECT_EQ(ran("alone"), 1);
+    EXPECT_EQ(ran("left"), 0);
+}
+
 } // namespace
