--- a/packages/base/tests/http_test.cpp
+++ b/packages/base/tests/http_test.cpp
@@ -215,35 +215,12 @@
 // Guards against bytes of a faulty upstream that reach the caller as an answer, with a status code that is none.
 TEST(http_reader, a_first_line_that_is_no_status_line_is_no_response)
 {
-    for (const auto *line : {"HTTP/1.1 000 Odd",
-                             "HTTP/1.1 001 Odd",
-                             "HTTP/1.1 099 Odd",
-                             "HTTP/1.1 20 OK",
-                             "HTTP/1.1 2 OK",
-                             "HTTP/1.1 2000 OK",
-                             "HTTP/1.1 600 Odd",
-                             "HTTP/1.1 999 Odd",
-                             "HTTP/1.1 -20 OK",
-                             "HTTP/1.1 +20 OK",
-                             "HTTP/1.1 2x0 OK",
-                             "HTTP/1.1  200 OK",
-                             "HTTP/1.1\t200 OK",
-                             "HTTP/1.1 200\tOK",
-                             "HTTP/1.1 101 Switching",
-                             "HTTP/1.1 1 Odd",
-                             "HTTP/2.0 200 OK",
-                             "HTTP/0.9 200 OK",
-                             "HTTP/1.10 200 OK",
-                             "HTTP/1.1200 OK",
-                             "http/1.1 200 OK",
-                             "HTTP/1.1",
-                             "HTTP/1.1 ",
-                             "200 OK",
-                             "",
-                             " HTTP/1.1 200 OK",
-                             "HTTP/1.1 2\r00 OK",
-                             "HTTP/1.1 \xb2"
-                             "00 OK"}) {
+    for (const auto *line : {"HTTP/1.1 000 Odd", "HTTP/1.1 001 Odd",  "HTTP/1.1 099 Odd",  "HTTP/1.1 20 OK",   "HTTP/1.1 2 OK",
+                             "HTTP/1.1 2000 OK", "HTTP/1.1 600 Odd",  "HTTP/1.1 999 Odd",  "HTTP/1.1 -20 OK",  "HTTP/1.1 +20 OK",
+                             "HTTP/1.1 2x0 OK",  "HTTP/1.1  200 OK",  "HTTP/1.1\t200 OK",  "HTTP/1.1 200\tOK", "HTTP/1.1 101 Switching",
+                             "HTTP/1.1 1 Odd",   "HTTP/2.0 200 OK",   "HTTP/0.9 200 OK",   "HTTP/1.10 200 OK", "HTTP/1.1200 OK",
+                             "http/1.1 200 OK",  "HTTP/1.1",          "HTTP/1.1 ",         "200 OK",           "",
+                             " HTTP/1.1 200 OK", "HTTP/1.1 2\r00 OK", "HTTP/1.1 \26200 OK"}) {
         EXPECT_EQ(responseStatus(line), std::nullopt) << line;
     }
 }
