--- a/packages/policy/include/turmericspar/policy/upstream_run.h
+++ b/packages/policy/include/turmericspar/policy/upstream_run.h
@@ -1,5 +1,5 @@
-/// @file departure.h
-/// Which run of a node's upstream has left.
+/// @file upstream_run.h
+/// The identity of the runs of an upstream, and their order.
 #pragma once
 
 #include <cstdint>
