--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,7 +15,7 @@
 SMALL_BODY_BYTES = 60_000
 UPLOADERS = 4
 ROUNDS = 3
-ENDS = 3  # of the rule: three times in the day, on two machines at least
+LOST_MOST = 3  # of the rule: more than three times
 
 
 class Watch:
@@ -93,8 +93,7 @@
     for machine in bed.machines:
         bed.record(f"{machine.name}: peak memory {watch.peak[machine.name]:.0f} MB, ended by itself {len(machine.ends)} times")
     bed.record(f"small bookings that ran and whose kept connection ended without an answer: {lost}")
-    repeated = [machine for machine in bed.machines if len(machine.ends) >= ENDS]
-    return BROKEN if len(repeated) >= 2 else HELD
+    return BROKEN if lost > LOST_MOST else HELD
 
 
 if __name__ == "__main__":
