Requests that are known to complete are not convicted for crashes of others

Cause: two things in suspects::tick(). It raised the copies of a request one after the other and asked for each anew whether it was suspected, so that the second copy of an innocent request counted as the only suspect. And "the only suspect among the broken calls" was taken for proof, though a request of which nothing was known ran beside it and had caused the crash. Ruled out: wrong digests (the logs name the lookup's own), news from other nodes (one node convicts it by itself), the note in the store (it only carries the conviction over the kill).

A completed run clears a request and excludes it from crashes for a minute; a conviction needs a crash at which nothing else may be the cause, counting calls that this node gave up or that still run; suspect_gate runs a suspect of two crashes beside excluded requests only, so that this is found out. An answer of 500 and above, or one that says "not run", clears nothing any more. Suspects that are cleared while they wait no longer wait for each other. A request that comes each minute is convicted at its second crash; its suspicion lapsed before.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -231,7 +231,7 @@
     if (m_serving.needsTick()) {
         scheduleTickBy(now + tickPeriod);
     }
-    if (m_suspects.needsTick() || !m_waitingSuspects.empty()) {
+    if (m_suspects.needsTick() || !m_suspectGate.empty()) {
         scheduleTickBy(now + suspectTickPeriod);
     }
     if (m_silence.hasOpenCalls()) {
@@ -262,7 +262,22 @@
 /// Decides which requests are suspected, and tells the other nodes.
 void call_path::concludeCrash(bool upstreamLives)
 {
-    m_suspects.tick(monotonicNow(), upstreamLives);
+    std::vector<request_digest> stillRunning;
+    for (const auto &[id, call] : m_upstreamCalls) {
+        if (call.startedAt.count > 0 && call.startedAt <= m_suspects.windowStart()) {
+            stillRunning.push_back(call.digest);
+        }
+    }
+    if (const auto report = m_suspects.tick(monotonicNow(), upstreamLives, stillRunning)) {
+        logEvent(log_level::warning,
+                 "upstream_crashed",
+                 {{"service", m_service},
+                  {"instance", m_announcement.instance},
+                  {"broken", report->broken},
+                  {"candidates", report->candidates},
+                  {"beside", report->beside},
+                  {"excluded", report->excluded}});
+    }
     const auto updates = m_suspects.takeUpdates();
     if (!updates.empty()) {
         m_callbacks.broadcastSuspicions(updates);
@@ -280,7 +295,7 @@
     m_serving.tick(now, servingActions);
     execute(servingActions);
     investigateCrash();
-    offerNextSuspect();
+    releaseWaitingCalls();
     handleSilentConnections();
     resizeConnectionPool();
     scheduleTick();
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -19,6 +19,7 @@
 #include "turmericspar/policy/parent_finder.h"
 #include "turmericspar/policy/silence_detector.h"
 #include "turmericspar/policy/stop_intake.h"
+#include "turmericspar/policy/suspect_gate.h"
 #include "turmericspar/policy/suspects.h"
 #include "turmericspar/upstream/announcement.h"
 #include "turmericspar/upstream/upstream_pool.h"
@@ -199,7 +200,8 @@
     bool isKnownService(const std::string &service) const;
     void refuseImmediately(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
-    void offerNextSuspect();
+    void releaseWaitingCalls();
+    void recordEvidence(request_digest digest, const http_outcome &outcome, const wire::CallReply &reply);
     void investigateCrash();
     void concludeCrash(bool upstreamLives);
     void execute(const std::vector<dispatch_action> &actions);
@@ -265,8 +267,7 @@
     suspects m_suspects;
     std::unique_ptr<http_client> m_probe; ///< connects to the upstream to see whether it lives; null while no crash is under investigation
     std::unordered_map<request_digest, std::string> m_refusedElsewhere; ///< service of each request that nodes of another service refused as convicted
-    std::deque<call_id> m_waitingSuspects; ///< suspects that are not yet offered to the upstream
-    call_id m_activeSuspect = 0; ///< the only suspect that is queued or running at the upstream; 0 if there is none
+    suspect_gate m_suspectGate; ///< calls of requests that are not known to complete
     call_id m_nextCallId = 1;
     std::uint64_t m_silentCallCount = 0;
     std::uint64_t m_brokenAnswerCount = 0;
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -67,17 +67,17 @@
     const call_id id = m_nextCallId++;
     setField(request.fields, m_profile.calls.callerService, callerService);
     const auto digest = digestOf(m_service, request);
-    const auto suspicionLevel = m_settings.mode == policy_mode::full ? m_suspects.level(digest, monotonicNow()) : suspicion_level::none;
+    const auto standing = m_settings.mode == policy_mode::full ? m_suspects.standing(digest, monotonicNow()) : request_standing::proven;
     upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}, {}};
     m_upstreamCallsByOrigin[{call.origin.from, call.origin.call}] = id;
     m_upstreamCalls.emplace(id, std::move(call));
-    if (suspicionLevel == suspicion_level::convicted) {
+    if (standing == request_standing::convicted) {
         refuseUpstreamCall(id, refusal_reason::suspect);
-    } else if (suspicionLevel == suspicion_level::suspect) {
-        m_waitingSuspects.push_back(id);
-        offerNextSuspect();
-    } else {
+    } else if (standing == request_standing::proven) {
         offer(id);
+    } else {
+        m_suspectGate.enter(id);
+        releaseWaitingCalls();
     }
     scheduleTick();
 }
@@ -96,22 +96,21 @@
     execute(actions);
 }
 
-/// Offers waiting suspects to the upstream one at a time, so that a crash identifies the request that caused it.
-void call_path::offerNextSuspect()
+/// Offers the calls that no longer have to wait for suspects.
+void call_path::releaseWaitingCalls()
 {
-    while (!m_upstreamCalls.contains(m_activeSuspect) && !m_waitingSuspects.empty()) {
-        const auto id = m_waitingSuspects.front();
-        m_waitingSuspects.pop_front();
-        const auto found = m_upstreamCalls.find(id);
-        if (found == m_upstreamCalls.end()) {
-            continue;
-        }
-        if (m_suspects.level(found->second.digest, monotonicNow()) == suspicion_level::convicted) {
+    if (m_suspectGate.empty()) {
+        return;
+    }
+    const millis now = monotonicNow();
+    const auto standingOf = [&](call_id id) { return m_suspects.standing(m_upstreamCalls.at(id).digest, now); };
+    for (const auto id : m_suspectGate.release(now, m_suspects.quiet(now), standingOf)) {
+        const auto &call = m_upstreamCalls.at(id);
+        if (m_suspects.level(call.digest, now) == suspicion_level::convicted) {
             refuseUpstreamCall(id, refusal_reason::suspect);
-        } else if (found->second.context.deadline <= monotonicNow()) {
+        } else if (call.context.deadline <= now) {
             refuseUpstreamCall(id, refusal_reason::deadline);
         } else {
-            m_activeSuspect = id;
             offer(id);
         }
     }
@@ -358,18 +357,30 @@
     }
     const auto found = m_upstreamCalls.find(id);
     if (found != m_upstreamCalls.end()) {
-        // A connection that this node closed, because of the time or of what it read, shows no crash.
-        const bool connectionBroke = outcome.error == errc::connection_broken && outcome.sent;
-        if (connectionBroke) {
-            m_suspects.recordBrokenCall(found->second.digest, m_serving.running(), monotonicNow());
-        } else if (!outcome.error) {
-            m_suspects.recordCompletedCall(found->second.digest, monotonicNow());
-        }
+        recordEvidence(found->second.digest, outcome, reply);
     }
     endUpstreamCall(id, std::move(reply), key_update::record);
+    releaseWaitingCalls();
     scheduleTick();
 }
 
+/// Records whether a run of a request completed, or broke as it does when the upstream crashes.
+void call_path::recordEvidence(request_digest digest, const http_outcome &outcome, const wire::CallReply &reply)
+{
+    const millis now = monotonicNow();
+    if (reply.outcome() == static_cast<std::uint32_t>(call_outcome::ran)) {
+        // An upstream that fails a request may not have run it.
+        if (!isServerError(reply.status())) {
+            m_suspects.recordCompletedCall(digest, now);
+        }
+    } else if (outcome.error == errc::connection_broken && outcome.sent) {
+        m_suspects.recordBrokenCall(digest, m_serving.running(), now);
+    } else if (outcome.sent && reply.outcome() == static_cast<std::uint32_t>(call_outcome::unknown)) {
+        // This node closed the connection, because of the time or of what it read, which shows no crash.
+        m_suspects.recordAbandonedCall(digest, now);
+    }
+}
+
 /// Ends a call that was started, with any outcome, and replies to its origin.
 void call_path::endUpstreamCall(call_id id, wire::CallReply reply, key_update keyUpdate)
 {
@@ -381,6 +392,7 @@
     m_upstreamCalls.erase(found);
     m_upstreamCallsByOrigin.erase({call.origin.from, call.origin.call});
     const millis now = monotonicNow();
+    m_suspectGate.ended(id, now);
     if (keyUpdate == key_update::record) {
         recordKeyOutcome(call, reply);
     }
@@ -467,6 +479,7 @@
     const upstream_call call = std::move(found->second);
     m_upstreamCalls.erase(found);
     m_upstreamCallsByOrigin.erase({call.origin.from, call.origin.call});
+    m_suspectGate.ended(id, monotonicNow());
     wire::CallReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
     reply.set_reason(static_cast<std::uint32_t>(reason));
@@ -501,6 +514,9 @@
 void call_path::cancelUpstreamCall(call_id id, refusal_reason reason)
 {
     m_pool.cancel(id);
+    if (const auto found = m_upstreamCalls.find(id); found != m_upstreamCalls.end()) {
+        m_suspects.recordAbandonedCall(found->second.digest, monotonicNow());
+    }
     wire::CallReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(call_outcome::unknown));
     reply.set_reason(static_cast<std::uint32_t>(reason));
@@ -542,9 +558,7 @@
 /// Refuses a call that has not been started, wherever it waits.
 void call_path::refuseWaitingCall(call_id id, refusal_reason reason)
 {
-    const auto suspect = std::find(m_waitingSuspects.begin(), m_waitingSuspects.end(), id);
-    if (suspect != m_waitingSuspects.end()) {
-        m_waitingSuspects.erase(suspect);
+    if (m_suspectGate.remove(id)) {
         refuseUpstreamCall(id, reason);
         return;
     }
@@ -555,7 +569,7 @@
 
 void call_path::refuseWaitingSuspects(refusal_reason reason)
 {
-    for (const auto id : std::exchange(m_waitingSuspects, {})) {
+    for (const auto id : m_suspectGate.removeAll()) {
         refuseUpstreamCall(id, reason);
     }
 }
--- a/bench/tests/poison_daemon_test.cpp
+++ b/bench/tests/poison_daemon_test.cpp
@@ -8,6 +8,7 @@
 #include "turmericspar/caller/call_fields.h"
 
 #include <algorithm>
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <gtest/gtest.h>
@@ -106,6 +107,45 @@
         waitUntilReady();
     }
 
+    struct call_counts
+    {
+        int served = 0;
+        int suspected = 0; ///< refused as crashing upstreams
+    };
+
+    /// Keeps four copies of a lookup in flight, sends requests that crash upstreams beside them, and goes on for a second.
+    call_counts callBesidePoison(const std::vector<std::string> &crashing)
+    {
+        std::atomic<bool> over = false;
+        std::vector<std::future<call_counts>> callers;
+        for (int caller = 0; caller < 4; ++caller) {
+            callers.push_back(std::async(std::launch::async, [&, caller] {
+                call_counts counts;
+                for (int turn = 0; !over; ++turn) {
+                    const auto answer = call(deskNode, "/page", "page-" + std::to_string(caller) + "-" + std::to_string(turn));
+                    counts.served += answer && answer->status == 200 ? 1 : 0;
+                    counts.suspected += answer && answer->fields.get(field::reason) == convicted ? 1 : 0;
+                    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+                }
+                return counts;
+            }));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+        for (std::size_t i = 0; i < crashing.size(); ++i) {
+            call(deskNode, crashing[i], "crashing-" + std::to_string(i));
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+        over = true;
+        call_counts sum;
+        for (auto &caller : callers) {
+            const auto counts = caller.get();
+            sum.served += counts.served;
+            sum.suspected += counts.suspected;
+        }
+        return sum;
+    }
+
     const std::string convicted{refusalNames.name(refusal_reason::suspect)};
     trace plan = [] {
         trace deployment;
@@ -144,6 +184,26 @@
     }
 }
 
+// Guards against a request that is refused as crashing upstreams because copies of it ran beside one that does (review/11).
+TEST_F(poison_daemon_test, a_frequent_request_beside_it_is_not_refused)
+{
+    plan.upstreams = {makeUpstream("manuals", "east", {200}), makeUpstream("manuals", "west", {200}), makeUpstream("desk", "west")};
+    start({});
+    const auto counts = callBesidePoison({"/poison-same", "/poison-same", "/poison-same", "/poison-same"});
+    EXPECT_EQ(counts.suspected, 0);
+    EXPECT_GT(counts.served, 30);
+}
+
+// Guards against the same with a new request at each crash, beside lookups so slow that each crash breaks some.
+TEST_F(poison_daemon_test, a_slow_request_beside_new_ones_that_crash_upstreams_is_not_refused)
+{
+    plan.upstreams = {makeUpstream("manuals", "east", {600}), makeUpstream("manuals", "west", {600}), makeUpstream("desk", "west")};
+    start({});
+    const auto counts = callBesidePoison({"/poison-1", "/poison-2", "/poison-3", "/poison-4", "/poison-5", "/poison-6"});
+    EXPECT_EQ(counts.suspected, 0);
+    EXPECT_GT(counts.served, 20);
+}
+
 // Guards against requests that wait to be run alone after a crash, and are run though their callers have left.
 TEST_F(poison_daemon_test, a_suspect_whose_caller_has_left_is_not_run)
 {
--- a/packages/node/src/wire.cpp
+++ b/packages/node/src/wire.cpp
@@ -75,14 +75,18 @@
     out.set_level(static_cast<std::uint32_t>(entry.level));
     out.set_age_ms((now - entry.at).count);
     out.set_convictions(static_cast<std::uint32_t>(entry.convictions));
+    out.set_crashes(static_cast<std::uint32_t>(entry.crashes));
+    out.set_since_age_ms((now - (entry.since.count > 0 ? entry.since : entry.at)).count);
 }
 
 suspicion fromWire(const wire::Suspicion &in, millis now)
 {
     const auto level = static_cast<suspicion_level>(std::min<std::uint32_t>(in.level(), suspicionNames.names.size() - 1));
-    const bool validAge = std::isfinite(in.age_ms()) && in.age_ms() > 0;
+    const auto ageOf = [](double stated) { return millis{std::isfinite(stated) && stated > 0 ? stated : 0}; };
     const auto convictions = static_cast<int>(std::min<std::uint32_t>(in.convictions(), suspicion::convictionsMax));
-    return {in.digest(), level, now - millis{validAge ? in.age_ms() : 0}, convictions};
+    const auto crashes = static_cast<int>(std::min<std::uint32_t>(in.crashes(), suspicion::crashesMax));
+    const millis age = ageOf(in.age_ms());
+    return {in.digest(), level, now - age, convictions, crashes, now - std::max(ageOf(in.since_age_ms()), age)};
 }
 
 std::string encodeGossip(const gossip_message &message, millis wallClock)
--- /dev/null
+++ b/packages/policy/include/turmericspar/policy/completed_requests.h
@@ -0,0 +1,38 @@
+/// @file completed_requests.h
+/// A memory of fixed size for requests that ran to their end lately.
+#pragma once
+
+#include "turmericspar/base/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace turmericspar {
+
+/// A hash of the content of a request: equal for all its copies.
+using request_digest = std::uint64_t;
+
+/// Remembers when requests last ran to their end. Frequent requests stay in it; of those that are rare, later ones take the place of earlier ones.
+class completed_requests
+{
+public:
+    static constexpr std::size_t slots = 4096;
+    static constexpr millis memory{60'000}; ///< how long a completed run counts
+
+    void record(request_digest digest, millis now);
+    void forget(request_digest digest);
+    /// @return when the request last ran to its end, if that still counts.
+    std::optional<millis> lastRun(request_digest digest, millis now) const;
+
+private:
+    struct slot
+    {
+        request_digest digest = 0;
+        std::optional<millis> at;
+    };
+
+    std::vector<slot> m_slots; ///< allocated with the first run
+};
+
+} // namespace turmericspar
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace turmericspar {
@@ -34,7 +35,24 @@
         const bool remembered = now < expiry(entry) + m_tuning.convictionMemory;
         return isConvicted(entry, now) ? suspicion_level::convicted : (remembered ? suspicion_level::suspect : suspicion_level::none);
     }
-    return now - entry.at < m_tuning.suspicionLifetime ? entry.level : suspicion_level::none;
+    const millis lifetime = entry.crashes >= m_tuning.crashesToIsolate ? m_tuning.convictionMemory : m_tuning.suspicionLifetime;
+    return now - entry.at < lifetime ? entry.level : suspicion_level::none;
+}
+
+request_standing suspects::standing(request_digest digest, millis now) const
+{
+    switch (level(digest, now)) {
+    case suspicion_level::convicted:
+        return request_standing::convicted;
+    case suspicion_level::suspect: {
+        const auto &entry = m_entries.at(digest);
+        const bool isolated = entry.crashes >= m_tuning.crashesToIsolate || entry.level == suspicion_level::convicted;
+        return isolated ? request_standing::isolated_suspect : request_standing::suspect;
+    }
+    case suspicion_level::none:
+        break;
+    }
+    return m_completed.lastRun(digest, now) ? request_standing::proven : request_standing::unproven;
 }
 
 std::optional<suspicion> suspects::conviction(request_digest digest, millis now) const
@@ -61,6 +79,13 @@
     m_entries[entry.digest] = entry;
 }
 
+/// Ends a suspicion or a conviction here and at the other nodes.
+void suspects::clear(request_digest digest, millis now)
+{
+    put({digest, suspicion_level::none, now, convictionsOf(digest), 0, {}}, now);
+    m_updates.push_back(m_entries.at(digest));
+}
+
 void suspects::recordBrokenCall(request_digest digest, std::size_t running, millis now)
 {
     if (m_broken.empty()) {
@@ -70,14 +95,35 @@
     m_broken.push_back(digest);
 }
 
+void suspects::recordAbandonedCall(request_digest digest, millis now)
+{
+    forgetAbandoned(now);
+    if (m_abandoned.size() >= m_tuning.abandonedMax) {
+        m_abandoned.pop_front();
+    }
+    m_abandoned.emplace_back(digest, now);
+}
+
+void suspects::forgetAbandoned(millis now)
+{
+    while (!m_abandoned.empty() && now - m_abandoned.front().second >= m_tuning.abandonedMemory) {
+        m_abandoned.pop_front();
+    }
+}
+
 void suspects::recordCompletedCall(request_digest digest, millis now)
 {
-    if (level(digest, now) != suspicion_level::suspect) {
-        return;
+    m_completed.record(digest, now);
+    const auto found = m_entries.find(digest);
+    if (found != m_entries.end() && found->second.level != suspicion_level::none) {
+        clear(digest, now);
     }
-    const suspicion cleared{digest, suspicion_level::none, now, convictionsOf(digest)};
-    put(cleared, now);
-    m_updates.push_back(cleared);
+}
+
+bool suspects::quiet(millis now)
+{
+    forgetAbandoned(now);
+    return std::all_of(m_abandoned.begin(), m_abandoned.end(), [&](const auto &call) { return m_completed.lastRun(call.first, now).has_value(); });
 }
 
 bool suspects::crashLikely(millis now) const
@@ -86,42 +132,138 @@
     return decided && static_cast<double>(m_broken.size()) >= m_tuning.crashShare * static_cast<double>(m_runningAtWindowStart);
 }
 
-void suspects::tick(millis now, bool upstreamLives)
+std::optional<crash_report> suspects::tick(millis now, bool upstreamLives, const std::vector<request_digest> &stillRunning)
 {
     if (m_broken.empty() || now - m_windowStart < m_tuning.crashWindow) {
-        return;
+        return std::nullopt;
     }
     const bool crashed = crashLikely(now) && !upstreamLives;
     const auto broken = std::exchange(m_broken, {});
     if (!crashed) {
-        return;
+        // The upstream may yet crash because of one of these.
+        for (const auto digest : broken) {
+            recordAbandonedCall(digest, now);
+        }
+        return std::nullopt;
     }
-    const auto suspected = [&](request_digest digest) { return level(digest, now) == suspicion_level::suspect; };
-    const auto suspectCount = std::count_if(broken.begin(), broken.end(), suspected);
+
+    // Step 1. The requests that may have caused it: all that ran there, but for those that are known to complete
+    forgetAbandoned(now);
+    const auto proven = [&](request_digest digest) { return m_completed.lastRun(digest, now).has_value(); };
+    std::set<request_digest> candidates;
+    std::set<request_digest> beside;
+    crash_report report;
+    report.broken = broken.size();
     for (const auto digest : broken) {
-        if (level(digest, now) == suspicion_level::convicted) {
-            continue;
+        if (proven(digest)) {
+            ++report.excluded;
+        } else {
+            candidates.insert(digest);
+        }
+    }
+    for (const auto &[digest, at] : m_abandoned) {
+        if (!proven(digest)) {
+            candidates.insert(digest);
         }
-        // A request that was already suspected, and was the only suspect among the broken calls, caused the crash.
-        const bool proven = suspected(digest) && suspectCount == 1;
-        const auto raised = proven ? suspicion_level::convicted : suspicion_level::suspect;
-        put({digest, raised, now, convictionsOf(digest) + (proven ? 1 : 0)}, now);
-        m_updates.push_back(m_entries.at(digest));
     }
+    for (const auto digest : stillRunning) {
+        if (!proven(digest) && !candidates.contains(digest)) {
+            beside.insert(digest);
+        }
+    }
+    report.candidates = candidates.size();
+    report.beside = beside.size();
+
+    // Step 2. If all are known to complete, one of them may have changed: it has to complete again
+    if (candidates.empty() && beside.empty()) {
+        for (const auto digest : broken) {
+            m_completed.forget(digest);
+        }
+    }
+
+    // Step 3. Blame them
+    const bool alone = candidates.size() == 1 && beside.empty();
+    for (const auto digest : candidates) {
+        blame(digest, alone, now);
+    }
+    return report;
+}
+
+/// Raises the level of a request that may have caused a crash.
+/// @param alone whether nothing else may have caused it
+void suspects::blame(request_digest digest, bool alone, millis now)
+{
+    if (level(digest, now) == suspicion_level::convicted) {
+        return;
+    }
+    const auto found = m_entries.find(digest);
+    const auto before = found == m_entries.end() ? suspicion{} : found->second;
+    // One crash may have another cause. A request that was there at two and completed nowhere in between is taken for theirs.
+    const bool blamedBefore = before.level != suspicion_level::none && now - before.at < m_tuning.convictionMemory;
+    const bool convicted = alone && blamedBefore;
+    suspicion raised{digest, convicted ? suspicion_level::convicted : suspicion_level::suspect, now, before.convictions + (convicted ? 1 : 0), 1, now};
+    if (blamedBefore) {
+        raised.crashes = std::min(std::max(before.crashes, 1) + 1, suspicion::crashesMax);
+        raised.since = before.since.count > 0 ? before.since : before.at;
+    }
+    put(raised, now);
+    m_updates.push_back(m_entries.at(digest));
+}
+
+/// @return whether a run of the request completed here after the first of the crashes for which it is suspected.
+bool suspects::contradicts(const suspicion &update, millis now) const
+{
+    const auto completedAt = m_completed.lastRun(update.digest, now);
+    return update.level != suspicion_level::none && completedAt && *completedAt > update.since;
+}
+
+/// @return an entry of another node with what is known here of the same crashes.
+suspicion suspects::combined(suspicion update) const
+{
+    update.since = update.since.count > 0 ? update.since : update.at;
+    update.crashes = std::max(update.crashes, update.level == suspicion_level::none ? 0 : 1);
+    const auto found = m_entries.find(update.digest);
+    if (found == m_entries.end() || update.level != suspicion_level::suspect) {
+        return update;
+    }
+    const auto &known = found->second;
+    if (known.level == suspicion_level::none) {
+        // Of the crashes that it states, those before the completed run do not count.
+        if (known.at > update.since) {
+            update.crashes = 1;
+            update.since = update.at;
+        }
+    } else {
+        update.crashes = std::max(update.crashes, known.crashes);
+        update.since = known.since.count > 0 ? std::min(update.since, known.since) : update.since;
+    }
+    return update;
 }
 
-void suspects::merge(const suspicion &update, millis now)
+void suspects::merge(const suspicion &reported, millis now)
 {
+    const auto update = combined(reported);
     const auto found = m_entries.find(update.digest);
     const int stated = std::max(update.convictions, update.level == suspicion_level::convicted ? 1 : 0);
+    if (contradicts(update, now)) {
+        // Only a conviction is worth messages: a suspect is cleared by its next run.
+        if (update.level == suspicion_level::convicted && (found == m_entries.end() || stated >= found->second.convictions)) {
+            put(update, now);
+            clear(update.digest, now);
+        }
+        return;
+    }
+    if (standing(update.digest, now) == request_standing::proven && update.level == suspicion_level::suspect && update.crashes < m_tuning.crashesToIsolate) {
+        return;
+    }
     if (found == m_entries.end() || stated > found->second.convictions) {
         put(update, now);
         return;
     }
     const auto known = found->second;
-    const bool knowsLess = stated < known.convictions || (isConvicted(known, now) && update.level != suspicion_level::convicted);
+    const bool knowsLess = stated < known.convictions || (isConvicted(known, now) && update.level == suspicion_level::suspect);
     if (!knowsLess) {
-        if (update.at > known.at) {
+        if (update.at > known.at || (update.at == known.at && update.level == suspicion_level::none)) {
             put(update, now);
         }
     } else if (update.level == suspicion_level::suspect && known.level == suspicion_level::convicted) {
@@ -129,6 +271,15 @@
     }
 }
 
+bool suspects::lift(request_digest digest, millis now)
+{
+    if (level(digest, now) != suspicion_level::convicted) {
+        return false;
+    }
+    clear(digest, now);
+    return true;
+}
+
 std::vector<suspicion> suspects::active(millis now) const
 {
     std::vector<suspicion> entries;
