An upstream that resets new connections at once has not crashed

Callers could be refused with reason suspect while their upstream was at its limit of connections and broke off half of its calls.

Cause: the probe of a suspected crash asked whether its connection was open when its callback ran, or failed with the connection attempt. An upstream at its limit accepts and resets at once, which looks like neither.

Change: http_client knows whether the peer ever accepted the connection, also where that is seen as ECONNRESET of the attempt.

Test: http_client.a_peer_that_resets_a_connection_at_once_has_accepted_it. A refused connection still counts as a crash. Signature unchanged.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -251,7 +251,7 @@
     }
     m_probe = std::make_unique<http_client>(m_loop, m_announcement.address, http_limits{});
     m_probe->connect(m_settings.connectTimeout, [this] {
-        const bool lives = m_probe->open();
+        const bool lives = m_probe->wasAccepted();
         m_loop.defer([this, lives] {
             m_probe.reset();
             concludeCrash(lives);
--- a/packages/base/include/turmericspar/base/http_client.h
+++ b/packages/base/include/turmericspar/base/http_client.h
@@ -54,6 +54,8 @@
     void send(const http_request &request, millis timeout, response_handler onResponse, http_correlation correlation = {});
 
     bool open() const { return m_state == state::open; }
+    /// @return whether the peer has accepted the connection, even if it has closed it since.
+    bool wasAccepted() const { return m_accepted; }
     /// @return whether the connection can carry no more requests.
     bool closed() const { return m_state == state::closed; }
     /// @return how long the peer keeps the idle connection open, if it stated that in a Keep-Alive field.
@@ -81,6 +83,7 @@
     http_reader m_reader;
     state m_state = state::closed;
     bufferevent *m_bev = nullptr;
+    bool m_accepted = false;
     bool m_sent = false;
     int m_foreignResponses = 0; ///< responses to other requests that arrived since the request was sent
     http_correlation m_correlation;
--- a/packages/base/src/http_client.cpp
+++ b/packages/base/src/http_client.cpp
@@ -3,6 +3,7 @@
 #include "turmericspar/base/socket_write.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -164,6 +165,7 @@
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         m_state = state::open;
+        m_accepted = true;
         const int enabled = 1;
         setsockopt(bufferevent_getfd(m_bev), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
         bufferevent_enable(m_bev, EV_READ | EV_WRITE);
@@ -178,6 +180,10 @@
         });
         return;
     }
+    // A peer that accepts and resets at once, as one at its limit of connections does, can be seen as an error of the connection attempt.
+    if (m_state == state::connecting && (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNRESET) {
+        m_accepted = true;
+    }
     // Only an orderly close completes a response that is delimited by the end of the connection.
     if ((what & BEV_EVENT_EOF) != 0) {
         m_reader.feedEof();
--- a/packages/base/tests/http_connection_test.cpp
+++ b/packages/base/tests/http_connection_test.cpp
@@ -383,23 +383,69 @@
     EXPECT_EQ(bodies.size(), 1U) << "nor has a body more";
 }
 
+/// A listening socket that accepts nothing by itself.
+struct raw_listener
+{
+    explicit raw_listener(int backlog) : descriptor(socket(AF_INET, SOCK_STREAM, 0)), length(endpoint{"127.0.0.1", 0}.toSockaddr(storage))
+    {
+        EXPECT_EQ(bind(descriptor, reinterpret_cast<sockaddr *>(&storage), length), 0);
+        EXPECT_EQ(listen(descriptor, backlog), 0);
+        EXPECT_EQ(getsockname(descriptor, reinterpret_cast<sockaddr *>(&storage), &length), 0);
+    }
+    ~raw_listener() { close(descriptor); }
+    raw_listener(const raw_listener &) = delete;
+    raw_listener &operator=(const raw_listener &) = delete;
+
+    endpoint address() { return endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&storage)); }
+
+    int descriptor;
+    sockaddr_storage storage{};
+    socklen_t length;
+};
+
+// Guards against an upstream at its limit of connections that is taken for crashed, since it resets a connection at once.
+TEST(http_client, a_peer_that_resets_a_connection_at_once_has_accepted_it)
+{
+    event_loop loop;
+    raw_listener listener(8);
+    http_client client(loop, listener.address(), http_limits{});
+    client.connect({1000}, [&] { loop.quit(); });
+    const int accepted = accept(listener.descriptor, nullptr, nullptr);
+    ASSERT_GE(accepted, 0);
+    const linger reset{1, 0};
+    setsockopt(accepted, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    close(accepted);
+    loop.run();
+    EXPECT_TRUE(client.wasAccepted());
+}
+
+TEST(http_client, a_refused_connection_is_not_accepted)
+{
+    event_loop loop;
+    endpoint closed;
+    {
+        raw_listener listener(8);
+        closed = listener.address();
+    }
+    http_client client(loop, closed, http_limits{});
+    client.connect({1000}, [&] { loop.quit(); });
+    loop.run();
+    EXPECT_TRUE(client.closed());
+    EXPECT_FALSE(client.wasAccepted());
+}
+
 // Guards against a call that waits until its deadline for a connection that can't be opened.
 TEST(http_client, the_time_to_connect_bounds_a_request_that_waits_for_the_connection)
 {
     // The queue of this listener holds one connection, so that others are not established.
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_storage storage;
-    auto length = endpoint{"127.0.0.1", 0}.toSockaddr(storage);
-    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&storage), length), 0);
-    ASSERT_EQ(listen(listener, 0), 0);
-    ASSERT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&storage), &length), 0);
+    raw_listener listener(0);
     std::vector<int> waiting;
     for (int i = 0; i < 3; ++i) {
         waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        EXPECT_TRUE(connect(waiting.back(), reinterpret_cast<sockaddr *>(&storage), length) == 0 || errno == EINPROGRESS);
+        EXPECT_TRUE(connect(waiting.back(), reinterpret_cast<sockaddr *>(&listener.storage), listener.length) == 0 || errno == EINPROGRESS);
     }
     event_loop loop;
-    http_client client(loop, endpoint::fromSockaddr(reinterpret_cast<sockaddr *>(&storage)), http_limits{});
+    http_client client(loop, listener.address(), http_limits{});
     client.connect({200}, {});
     http_outcome outcome;
     const millis begin = monotonicNow();
@@ -414,7 +460,6 @@
     for (const int descriptor : waiting) {
         close(descriptor);
     }
-    close(listener);
 }
 
 TEST(http_server, does_not_wait_for_a_peer_that_keeps_its_side_open_after_the_last_response)
