A conviction ends when a completed run contradicts it, or when an operator lifts it

Callers of a wrongly convicted request got 503 until the conviction expired, at every node that had learned of it, also when copies of the request went on completing elsewhere; each node that started read the note in the store and refused it again.

Cause: only a suspicion was cleared by a completed run; the other nodes ignored what cleared a conviction ("a run that ended elsewhere proves nothing"), and its note was kept to the end. A run that ended after the first of the crashes does prove that the request does not crash whatever runs it. One at a node that knew nothing of the conviction still counts for nothing, as the tests of before ask.

Change: a completed run, or a node that has completed the request since the first crash, clears the conviction; all nodes are told, since those where the request entered refuse it too; the note is removed by the node that found out and by those that were told.

--- a/apps/turmericsparctl/commands.cpp
+++ b/apps/turmericsparctl/commands.cpp
@@ -285,6 +285,27 @@
     return answer->status == 200 ? exit_code::done : exit_code::failed;
 }
 
+exit_code convictions(const command_context &context)
+{
+    const auto lifted = context.text("--lift");
+    if (!lifted.empty()) {
+        const auto answer = context.node.post("/v1/convictions/lift", {{"digest", lifted}});
+        if (!answer) {
+            return printError(answer.error().text());
+        }
+        std::cout << answer->body.dump() << '\n';
+        return answer->status == 200 ? exit_code::done : exit_code::failed;
+    }
+    return getAndPrint(context, "/v1/convictions", [](const json &body) {
+        std::vector<std::vector<std::string>> rows{{"DIGEST", "LEVEL", "CRASHES", "LAST MS AGO", "CONVICTIONS", "REFUSED FOR MS"}};
+        for (const auto &entry : body) {
+            const auto whole = [&](const char *key) { return std::to_string(static_cast<std::int64_t>(entry[key].get<double>())); };
+            rows.push_back({entry["digest"], entry["level"], whole("crashes"), whole("last_crash_ms_ago"), whole("convictions"), whole("refused_for_ms")});
+        }
+        printTable(rows);
+    });
+}
+
 /// A command and the function that runs it.
 struct command_entry
 {
@@ -303,6 +324,7 @@
                                       {"", "status", status},
                                       {"", "upstreams", upstreams},
                                       {"", "drain", drain},
+                                      {"", "convictions", convictions},
                                       {"", "top", top},
                                       {"", "explain", explain}};
 
--- a/apps/turmericsparctl/main.cpp
+++ b/apps/turmericsparctl/main.cpp
@@ -26,6 +26,7 @@
   turmericsparctl [options] status
   turmericsparctl [options] upstreams
   turmericsparctl [options] drain [--undo]
+  turmericsparctl [options] convictions [--lift=DIGEST]
   turmericsparctl [options] top [--once] [--interval-ms=N]
   turmericsparctl [options] explain REQUEST
   turmericsparctl --help
@@ -46,6 +47,7 @@
   --once            Print one view and exit.
   --interval-ms=N   Time between two views. [default: 2000]
   --undo            Let the upstream accept calls again.
+  --lift=DIGEST     Let requests run again that are refused because they crash upstreams, at all nodes.
 
 Exit codes: 0 success; 1 failure; 2 usage error; 3 conflict with the current version; 4 the document would be invalid;
 5 unknown whether the patch was accepted: submit again with the same --submission.
--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -160,6 +160,13 @@
     scheduleTick();
 }
 
+bool call_path::liftConviction(request_digest digest)
+{
+    const bool lifted = m_suspects.lift(digest, monotonicNow());
+    tellSuspicions();
+    return lifted;
+}
+
 std::vector<suspicion> call_path::activeSuspicions(const std::string &service) const
 {
     const millis now = monotonicNow();
@@ -246,7 +253,8 @@
         return;
     }
     if (!m_suspects.crashLikely(monotonicNow())) {
-        concludeCrash(true);
+        m_suspects.tick(monotonicNow(), true);
+        tellSuspicions();
         return;
     }
     m_probe = std::make_unique<http_client>(m_loop, m_announcement.address, http_limits{});
@@ -278,6 +286,12 @@
                   {"beside", report->beside},
                   {"excluded", report->excluded}});
     }
+    tellSuspicions();
+}
+
+/// Tells the other nodes what has changed.
+void call_path::tellSuspicions()
+{
     const auto updates = m_suspects.takeUpdates();
     if (!updates.empty()) {
         m_callbacks.broadcastSuspicions(updates);
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -92,6 +92,13 @@
     /// @return the suspicions that hold, for a node of a service that knows none of them: all for the service of this node's upstream, for another
     /// one the convictions by which its nodes have refused requests that entered here.
     std::vector<suspicion> activeSuspicions(const std::string &service) const;
+    /// @return whether a request is refused because it crashes upstreams.
+    bool isConvicted(request_digest digest) const { return m_suspects.level(digest, monotonicNow()) == suspicion_level::convicted; }
+    /// @return all suspicions that this node knows, of its own service and of others.
+    std::vector<suspicion> suspicions() const { return m_suspects.active(monotonicNow()); }
+    /// Ends a conviction here and at the other nodes.
+    /// @return whether the request was convicted
+    bool liftConviction(request_digest digest);
     /// @return when a conviction no longer holds.
     millis expiryOf(const suspicion &conviction) const { return m_suspects.expiry(conviction); }
     once_guard &onceGuard() { return m_once; }
@@ -204,6 +211,7 @@
     void recordEvidence(request_digest digest, const http_outcome &outcome, const wire::CallReply &reply);
     void investigateCrash();
     void concludeCrash(bool upstreamLives);
+    void tellSuspicions();
     void execute(const std::vector<dispatch_action> &actions);
     void execute(const std::vector<admission_action> &actions);
     void forward(const dispatch_action &action);
--- a/apps/turmericspard/control_path.cpp
+++ b/apps/turmericspard/control_path.cpp
@@ -382,6 +382,13 @@
     }
 }
 
+void control_path::withdrawConviction(request_digest digest, conviction_source source)
+{
+    if (m_convictions) {
+        m_convictions->withdraw(digest, source);
+    }
+}
+
 void control_path::leave()
 {
     std::vector<addressed_gossip> messages;
--- a/apps/turmericspard/control_path.h
+++ b/apps/turmericspard/control_path.h
@@ -78,6 +78,8 @@
     void recordDeparture(const upstream_run &departed, std::function<void()> recorded);
     /// Keeps a note in the store, if there is one, about a request that crashes upstreams.
     void keepConviction(const noted_conviction &conviction, conviction_source source);
+    /// Removes that note, since the request does not crash upstreams.
+    void withdrawConviction(request_digest digest, conviction_source source);
     /// Announces to the other members that this node leaves.
     void leave();
 
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -168,20 +168,36 @@
     return true;
 }
 
-/// Sends suspicions against requests to the other nodes of the same service, which are the ones that may run these requests.
+/// Sends what this node found out about requests to the nodes of the same service, which are the ones that may run them. All nodes may refuse a
+/// convicted request, so that all learn when a conviction has ended.
 void node_daemon::broadcastSuspicions(const std::vector<suspicion> &suspicions)
 {
+    std::vector<suspicion> ended;
     for (const auto &item : suspicions) {
-        logEvent(log_level::warning, "request_suspected", {{"digest", item.digest}, {"level", suspicionNames.name(item.level)}});
+        logEvent(log_level::warning,
+                 "request_suspected",
+                 {{"digest", item.digest},
+                  {"service", m_calls.service()},
+                  {"level", suspicionNames.name(item.level)},
+                  {"crashes", item.crashes},
+                  {"first_crash_ms_ago", item.crashes > 0 ? monotonicNow() - item.since : millis{0}},
+                  {"convictions", item.convictions}});
         noteConviction(item, conviction_source::raised);
+        if (endsConviction(item)) {
+            ended.push_back(item);
+        }
     }
-    std::vector<node_id> nodes;
+    std::vector<node_id> members;
+    std::vector<node_id> others;
     for (const auto &[node, entry] : m_control.members().members()) {
-        if (isLive(entry) && entry.service == m_calls.service()) {
-            nodes.push_back(node);
+        if (isLive(entry) && node != m_self) {
+            (entry.service == m_calls.service() ? members : others).push_back(node);
         }
     }
-    pushSuspicions(nodes, suspicions);
+    pushSuspicions(members, suspicions);
+    if (!ended.empty()) {
+        pushSuspicions(others, ended);
+    }
 }
 
 void node_daemon::pushSuspicions(const std::vector<node_id> &nodes, const std::vector<suspicion> &suspicions)
@@ -195,11 +211,19 @@
     }
 }
 
-/// Keeps a conviction in the store, so that the request stays refused if all nodes that know it end.
+/// @return whether an entry states that a conviction does not hold.
+bool node_daemon::endsConviction(const suspicion &entry)
+{
+    return entry.level == suspicion_level::none && entry.convictions > 0;
+}
+
+/// Keeps a conviction in the store, so that the request stays refused if all nodes that know it end, or removes the note of one that does not hold.
 void node_daemon::noteConviction(const suspicion &entry, conviction_source source)
 {
     if (entry.level == suspicion_level::convicted) {
         m_control.keepConviction({entry, m_calls.service(), std::max(m_calls.expiryOf(entry), entry.at + convictionNoteMin)}, source);
+    } else if (endsConviction(entry) && !m_calls.isConvicted(entry.digest)) {
+        m_control.withdrawConviction(entry.digest, source);
     }
 }
 
--- a/apps/turmericspard/node_daemon.h
+++ b/apps/turmericspard/node_daemon.h
@@ -30,6 +30,7 @@
     void logMemberState(const member &entry);
     void broadcastSuspicions(const std::vector<suspicion> &news);
     void tellSuspicions(const member &entry);
+    static bool endsConviction(const suspicion &entry);
     void noteConviction(const suspicion &entry, conviction_source source);
     void onConvictionRead(const noted_conviction &noted);
     void pushSuspicions(const std::vector<node_id> &nodes, const std::vector<suspicion> &suspicions);
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -143,6 +143,8 @@
     server.route("GET", "/v1/load", false, [this](const http_exchange_ptr &exchange) { handleLoad(exchange); });
     server.route("GET", "/v1/records", false, [this](const http_exchange_ptr &exchange) { handleRecords(exchange); });
     server.route("POST", "/v1/drain", false, [this](const http_exchange_ptr &exchange) { handleDrain(exchange); });
+    server.route("GET", "/v1/convictions", false, [this](const http_exchange_ptr &exchange) { handleConvictions(exchange); });
+    server.route("POST", "/v1/convictions/lift", false, [this](const http_exchange_ptr &exchange) { handleLift(exchange); });
 }
 
 void operator_api::handleConfig(const http_exchange_ptr &exchange)
@@ -277,6 +279,38 @@
     exchange->respond(jsonResponse(200, json{{"draining", m_calls.status().draining}}.dump()));
 }
 
+/// Lists the requests that are suspected of crashing upstreams, or refused for it, with the evidence.
+void operator_api::handleConvictions(const http_exchange_ptr &exchange)
+{
+    const millis now = monotonicNow();
+    json list = json::array();
+    for (const auto &entry : m_calls.suspicions()) {
+        const bool convicted = m_calls.isConvicted(entry.digest);
+        list.push_back({{"digest", fmt::format("{:016x}", entry.digest)},
+                        {"level", suspicionNames.name(convicted ? suspicion_level::convicted : suspicion_level::suspect)},
+                        {"crashes", entry.crashes},
+                        {"last_crash_ms_ago", (now - entry.at).count},
+                        {"convictions", entry.convictions},
+                        {"refused_for_ms", convicted ? (m_calls.expiryOf(entry) - now).count : 0}});
+    }
+    exchange->respond(jsonResponse(200, list.dump()));
+}
+
+/// Ends a conviction at all nodes.
+void operator_api::handleLift(const http_exchange_ptr &exchange)
+{
+    const auto parsed = parseDocument(exchange->request().body);
+    const auto text = parsed.is_object() && parsed.contains("digest") && parsed["digest"].is_string() ? parsed["digest"].get<std::string>() : std::string{};
+    const auto digest = parseDigest(text);
+    if (!digest) {
+        exchange->respond(problemResponse(400, "malformed", "digest: expected 16 hexadecimal digits"));
+        return;
+    }
+    const bool lifted = m_calls.liftConviction(*digest);
+    logEvent(log_level::info, "conviction_lifted", {{"digest", *digest}, {"was_convicted", lifted ? "true" : "false"}});
+    exchange->respond(lifted ? jsonResponse(200, R"({"lifted":true})") : problemResponse(404, "unknown", "this request is not convicted"));
+}
+
 void operator_api::handleMetrics(const http_exchange_ptr &exchange)
 {
     const auto calls = m_calls.status();
--- a/apps/turmericspard/operator_api.h
+++ b/apps/turmericspard/operator_api.h
@@ -31,6 +31,8 @@
     void handleRecords(const http_exchange_ptr &exchange);
     void handleStatus(const http_exchange_ptr &exchange);
     void handleDrain(const http_exchange_ptr &exchange);
+    void handleConvictions(const http_exchange_ptr &exchange);
+    void handleLift(const http_exchange_ptr &exchange);
     void handleMetrics(const http_exchange_ptr &exchange);
 
     const node_settings &m_settings;
--- a/bench/tests/poison_daemon_test.cpp
+++ b/bench/tests/poison_daemon_test.cpp
@@ -204,6 +204,31 @@
     EXPECT_GT(counts.served, 20);
 }
 
+// Guards against a conviction that operators can't end: it would come back with each node that reads its note, or that was not told.
+TEST_F(poison_daemon_test, a_conviction_that_is_lifted_has_ended_at_all_nodes_and_those_that_start)
+{
+    start({});
+    convict();
+    const auto convictionsAt = [&](const node_addresses &node) { return requestFromOperators(node, token, "GET", "/v1/convictions"); };
+    const auto listed = convictionsAt(nodes->nodes()[0]);
+    ASSERT_TRUE(listed);
+    ASSERT_EQ(listed->size(), 1U);
+    EXPECT_EQ((*listed)[0]["level"], "convicted");
+    EXPECT_GE((*listed)[0]["crashes"], 2);
+    ASSERT_TRUE(requestFromOperators(nodes->nodes()[0], token, "POST", "/v1/convictions/lift", {{"digest", (*listed)[0]["digest"]}}));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const auto expectNone = [&] {
+        for (const auto &node : nodes->nodes()) {
+            const auto left = convictionsAt(node);
+            ASSERT_TRUE(left);
+            EXPECT_EQ(left->size(), 0U) << node.operators.text();
+        }
+    };
+    expectNone();
+    killAndStart({0, 1, 2});
+    expectNone();
+}
+
 // Guards against requests that wait to be run alone after a crash, and are run though their callers have left.
 TEST_F(poison_daemon_test, a_suspect_whose_caller_has_left_is_not_run)
 {
--- a/packages/policy/include/turmericspar/policy/completed_requests.h
+++ b/packages/policy/include/turmericspar/policy/completed_requests.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace turmericspar {
@@ -13,6 +14,9 @@
 /// A hash of the content of a request: equal for all its copies.
 using request_digest = std::uint64_t;
 
+/// @return the digest that a text of 16 hexadecimal digits states; nothing if it is malformed.
+std::optional<request_digest> parseDigest(std::string_view text);
+
 /// Remembers when requests last ran to their end. Frequent requests stay in it; of those that are rare, later ones take the place of earlier ones.
 class completed_requests
 {
--- a/packages/store/include/turmericspar/store/conviction_registry.h
+++ b/packages/store/include/turmericspar/store/conviction_registry.h
@@ -39,6 +39,9 @@
 
     /// Keeps a note for a conviction.
     void keep(const noted_conviction &conviction, conviction_source source);
+    /// Ends a conviction before its time: its note is removed, and not written again.
+    /// @param source raised: this node found out that the conviction does not hold; told: another node did, and removes the note as well
+    void withdraw(request_digest digest, conviction_source source);
     /// Reads all notes, again and again until the store answers.
     /// @param onRead called for each note that can be read
     void read(read_handler onRead);
@@ -50,6 +53,7 @@
         noted_conviction conviction;
         millis dueAt; ///< when it is written, or looked for
         bool lookFirst = false; ///< whether another node may have written it
+        bool withdrawn = false; ///< whether the note is to be removed instead
     };
 
     static millis nextDue(const noted_conviction &conviction);
@@ -59,6 +63,8 @@
     void work();
     void look(request_digest digest);
     void write(request_digest digest);
+    void removeNote(request_digest digest);
+    millis spreadDelay();
     void writeUnderLease(request_digest digest, const std::string &lease);
     void finish(request_digest digest, bool done);
     void handleListing(const store_listing &listing, const read_handler &onRead) const;
--- a/packages/store/src/conviction_registry.cpp
+++ b/packages/store/src/conviction_registry.cpp
@@ -4,7 +4,6 @@
 #include "turmericspar/base/log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -26,18 +25,6 @@
 /// Most notes that are kept, and most that are taken from a reading.
 constexpr std::size_t notesMax = 1000;
 
-constexpr std::size_t digestDigits = 16;
-constexpr int hexadecimal = 16;
-
-/// @return the digest that the last part of a key states; nothing if it is malformed.
-std::optional<request_digest> digestOf(std::string_view text)
-{
-    request_digest digest = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), digest, hexadecimal);
-    const bool valid = text.size() == digestDigits && error == std::errc{} && end == text.data() + text.size();
-    return valid ? std::optional<request_digest>(digest) : std::nullopt;
-}
-
 std::string textOf(const noted_conviction &conviction)
 {
     const millis age = monotonicNow() - conviction.entry.at;
@@ -89,20 +76,42 @@
 void conviction_registry::keep(const noted_conviction &conviction, conviction_source source)
 {
     const auto found = m_notes.find(conviction.entry.digest);
-    const bool known = found != m_notes.end() && found->second.conviction.expiresAt >= conviction.expiresAt;
+    const bool known = found != m_notes.end() && !found->second.withdrawn && found->second.conviction.expiresAt >= conviction.expiresAt;
     if (known || conviction.expiresAt <= monotonicNow() || (found == m_notes.end() && m_notes.size() >= notesMax)) {
         return;
     }
     auto &note = m_notes[conviction.entry.digest];
     note = {conviction, monotonicNow(), source != conviction_source::raised};
     if (source == conviction_source::told) {
-        note.dueAt += lookDelay + lookDelay * std::uniform_real_distribution<double>(0, 1)(m_random);
+        note.dueAt += spreadDelay();
     } else if (source == conviction_source::read) {
         note.dueAt = nextDue(conviction);
     }
     work();
 }
 
+/// @return after which time this node acts on what another node told, which that node does at once.
+millis conviction_registry::spreadDelay()
+{
+    return lookDelay + lookDelay * std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+void conviction_registry::withdraw(request_digest digest, conviction_source source)
+{
+    const auto found = m_notes.find(digest);
+    if (found == m_notes.end() && m_notes.size() >= notesMax) {
+        return;
+    }
+    const millis now = monotonicNow();
+    kept_note note;
+    note.conviction.entry.digest = digest;
+    note.conviction.expiresAt = now + leaseMax;
+    note.dueAt = source == conviction_source::raised ? now : now + spreadDelay();
+    note.withdrawn = true;
+    m_notes[digest] = note;
+    work();
+}
+
 /// Looks for all notes again: what was written since the copy that the store went back to is lost.
 void conviction_registry::handleRestore()
 {
@@ -138,7 +147,9 @@
         return;
     }
     m_callPending = true;
-    if (due->second.lookFirst) {
+    if (due->second.withdrawn) {
+        removeNote(due->first);
+    } else if (due->second.lookFirst) {
         look(due->first);
     } else {
         write(due->first);
@@ -163,6 +174,24 @@
     });
 }
 
+/// Removes the note of a conviction that does not hold.
+void conviction_registry::removeNote(request_digest digest)
+{
+    m_store.remove(keyOf(digest), [this, digest](const write_result &result) {
+        const auto found = m_notes.find(digest);
+        const bool removed = result.outcome == write_outcome::applied;
+        if (removed) {
+            logEvent(log_level::info, "conviction_note_removed", {{"digest", digest}});
+        } else {
+            logFailure(log_level::warning, "conviction_note_not_removed", result.error, {{"digest", digest}});
+        }
+        if (removed && found != m_notes.end() && found->second.withdrawn) {
+            m_notes.erase(found);
+        }
+        finish(digest, false);
+    });
+}
+
 /// Opens a lease that lasts as long as the conviction holds, and writes the note under it.
 void conviction_registry::write(request_digest digest)
 {
@@ -205,7 +234,7 @@
 {
     m_callPending = false;
     const auto found = m_notes.find(digest);
-    if (found != m_notes.end()) {
+    if (found != m_notes.end() && !(found->second.withdrawn && done)) {
         found->second.dueAt = done ? nextDue(found->second.conviction) : monotonicNow() + retryInterval;
     }
     work();
@@ -227,7 +256,7 @@
 {
     std::size_t taken = 0;
     for (const auto &entry : listing.entries) {
-        const auto digest = digestOf(std::string_view(entry.key).substr(std::min(m_prefix.size(), entry.key.size())));
+        const auto digest = parseDigest(std::string_view(entry.key).substr(std::min(m_prefix.size(), entry.key.size())));
         const auto conviction = digest ? convictionOf(*digest, entry.value) : std::nullopt;
         if (conviction && taken < notesMax) {
             ++taken;
