The note of an earlier conviction is replaced by that of a later one

A request that was convicted for the second time, for ten minutes, could be run again by a process that started after one: if the node that raised the conviction ended before it noted it, the others found the note of the first conviction and left it.

Cause: conviction_registry took any entry under the key, and any conflict, for its own note.

Change: the entry that stands is read; one with fewer convictions is removed and written anew.

--- a/packages/store/include/turmericspar/store/conviction_registry.h
+++ b/packages/store/include/turmericspar/store/conviction_registry.h
@@ -64,6 +64,7 @@
     void look(request_digest digest);
     void write(request_digest digest);
     void removeNote(request_digest digest);
+    void replaceNote(request_digest digest);
     millis spreadDelay();
     void writeUnderLease(request_digest digest, const std::string &lease);
     void finish(request_digest digest, bool done);
--- a/packages/store/src/conviction_registry.cpp
+++ b/packages/store/src/conviction_registry.cpp
@@ -165,11 +165,31 @@
             finish(digest, false);
             return;
         }
+        const auto found = m_notes.find(digest);
         const auto &entries = listing->entries;
-        if (std::any_of(entries.begin(), entries.end(), [&](const store_entry &entry) { return entry.key == key; })) {
+        const auto standing = std::find_if(entries.begin(), entries.end(), [&](const store_entry &entry) { return entry.key == key; });
+        if (standing == entries.end() || found == m_notes.end()) {
+            write(digest);
+            return;
+        }
+        // A note of an earlier conviction ends too soon.
+        const auto noted = convictionOf(digest, standing->value);
+        if (noted && noted->entry.convictions >= found->second.conviction.entry.convictions) {
             finish(digest, true);
         } else {
+            replaceNote(digest);
+        }
+    });
+}
+
+void conviction_registry::replaceNote(request_digest digest)
+{
+    m_store.remove(keyOf(digest), [this, digest](const write_result &result) {
+        if (result.outcome == write_outcome::applied) {
             write(digest);
+        } else {
+            logFailure(log_level::warning, "conviction_not_noted", result.error, {{"digest", digest}});
+            finish(digest, false);
         }
     });
 }
@@ -219,8 +239,12 @@
         return;
     }
     m_store.putUnderLease(keyOf(digest), textOf(found->second.conviction), lease, [this, digest](const write_result &result) {
-        // A conflict means that the key stands under the lease of another node.
-        const bool noted = result.outcome == write_outcome::applied || result.error.code == errc::conflict;
+        if (result.error.code == errc::conflict) {
+            // The key stands under the lease of another node.
+            look(digest);
+            return;
+        }
+        const bool noted = result.outcome == write_outcome::applied;
         if (noted) {
             logEvent(log_level::info, "conviction_noted", {{"digest", digest}});
         } else {
