--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -208,7 +208,7 @@
     void refuseImmediately(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
     void releaseWaitingCalls();
-    void recordEvidence(request_digest digest, const http_outcome &outcome, const wire::CallReply &reply);
+    void recordEvidence(const upstream_call &call, const http_outcome &outcome, const wire::CallReply &reply);
     void investigateCrash();
     void concludeCrash(bool upstreamLives);
     void tellSuspicions();
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -357,7 +357,7 @@
     }
     const auto found = m_upstreamCalls.find(id);
     if (found != m_upstreamCalls.end()) {
-        recordEvidence(found->second.digest, outcome, reply);
+        recordEvidence(found->second, outcome, reply);
     }
     endUpstreamCall(id, std::move(reply), key_update::record);
     releaseWaitingCalls();
@@ -365,19 +365,19 @@
 }
 
 /// Records whether a run of a request completed, or broke as it does when the upstream crashes.
-void call_path::recordEvidence(request_digest digest, const http_outcome &outcome, const wire::CallReply &reply)
+void call_path::recordEvidence(const upstream_call &call, const http_outcome &outcome, const wire::CallReply &reply)
 {
     const millis now = monotonicNow();
     if (reply.outcome() == static_cast<std::uint32_t>(call_outcome::ran)) {
         // An upstream that fails a request may not have run it.
         if (!isServerError(reply.status())) {
-            m_suspects.recordCompletedCall(digest, now);
+            m_suspects.recordCompletedCall(call.digest, now);
         }
     } else if (outcome.error == errc::connection_broken && outcome.sent) {
-        m_suspects.recordBrokenCall(digest, m_serving.running(), now);
+        m_suspects.recordBrokenCall(call.digest, m_serving.running(), now, call.startedAt);
     } else if (outcome.sent && reply.outcome() == static_cast<std::uint32_t>(call_outcome::unknown)) {
         // This node closed the connection, because of the time or of what it read, which shows no crash.
-        m_suspects.recordAbandonedCall(digest, now);
+        m_suspects.recordAbandonedCall(call.digest, now);
     }
 }
 
--- a/packages/policy/include/turmericspar/policy/completed_requests.h
+++ b/packages/policy/include/turmericspar/policy/completed_requests.h
@@ -21,7 +21,9 @@
 class completed_requests
 {
 public:
-    static constexpr std::size_t slots = 4096;
+    /// @param slots for how many requests there is room
+    explicit completed_requests(std::size_t slots) : m_slotCount(slots) { }
+
     static constexpr millis memory{60'000}; ///< how long a completed run counts
 
     void record(request_digest digest, millis now);
@@ -36,6 +38,7 @@
         std::optional<millis> at;
     };
 
+    std::size_t m_slotCount;
     std::vector<slot> m_slots; ///< allocated with the first run
 };
 
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -66,13 +66,14 @@
     double convictionGrowth = 10; ///< factor by which that time grows with each further conviction
     millis convictionMemory{86'400'000}; ///< how long a request that is no longer refused stays suspected, and the longest time of a refusal
     std::size_t entriesMax = 10'000;
+    std::size_t completedMax = 4096; ///< requests of which a completed run is remembered
 };
 
 /// The suspected and convicted requests that a node knows, and its detection of crashes.
 class suspects
 {
 public:
-    explicit suspects(const suspects_tunables &tuning) : m_tuning(tuning) { }
+    explicit suspects(const suspects_tunables &tuning) : m_tuning(tuning), m_completed(tuning.completedMax) { }
 
     suspicion_level level(request_digest digest, millis now) const;
     request_standing standing(request_digest digest, millis now) const;
@@ -85,7 +86,8 @@
 
     /// Records a call whose upstream connection broke while it ran.
     /// @param running number of calls that were running before the break, including this one
-    void recordBrokenCall(request_digest digest, std::size_t running, millis now);
+    /// @param startedAt when the call was started; one that was started before the last crash broke because of that one
+    void recordBrokenCall(request_digest digest, std::size_t running, millis now, std::optional<millis> startedAt = {});
     /// Records a call that this node gave up while it ran: the upstream may go on running it, and crash.
     void recordAbandonedCall(request_digest digest, millis now);
     /// @return whether no call of a request that is not known to complete was given up so lately that it may still run.
@@ -112,6 +114,8 @@
     /// Ends a conviction at the request of an operator.
     /// @return whether the request was convicted
     bool lift(request_digest digest, millis now);
+    /// @return all entries, also those that no longer hold.
+    std::vector<suspicion> known() const;
     /// @return the entries that hold, for a node that knows none of them.
     std::vector<suspicion> active(millis now) const;
     /// @return entries that changed here since the last call, to be sent to other nodes.
@@ -134,6 +138,7 @@
     std::vector<request_digest> m_broken; ///< in the current window
     std::size_t m_runningAtWindowStart = 0;
     millis m_windowStart{0};
+    std::optional<millis> m_lastCrashAt;
     std::deque<std::pair<request_digest, millis>> m_abandoned;
 };
 
--- a/packages/policy/src/completed_requests.cpp
+++ b/packages/policy/src/completed_requests.cpp
@@ -17,15 +17,15 @@
 void completed_requests::record(request_digest digest, millis now)
 {
     if (m_slots.empty()) {
-        m_slots.resize(slots);
+        m_slots.resize(m_slotCount);
     }
-    m_slots[digest % slots] = {digest, now};
+    m_slots[digest % m_slotCount] = {digest, now};
 }
 
 void completed_requests::forget(request_digest digest)
 {
-    if (!m_slots.empty() && m_slots[digest % slots].digest == digest) {
-        m_slots[digest % slots] = {};
+    if (!m_slots.empty() && m_slots[digest % m_slotCount].digest == digest) {
+        m_slots[digest % m_slotCount] = {};
     }
 }
 
@@ -34,7 +34,7 @@
     if (m_slots.empty()) {
         return std::nullopt;
     }
-    const auto &found = m_slots[digest % slots];
+    const auto &found = m_slots[digest % m_slotCount];
     const bool counts = found.digest == digest && found.at && now - *found.at < memory;
     return counts ? found.at : std::nullopt;
 }
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -86,8 +86,14 @@
     m_updates.push_back(m_entries.at(digest));
 }
 
-void suspects::recordBrokenCall(request_digest digest, std::size_t running, millis now)
+void suspects::recordBrokenCall(request_digest digest, std::size_t running, millis now, std::optional<millis> startedAt)
 {
+    if (startedAt && m_lastCrashAt && *startedAt <= *m_lastCrashAt) {
+        if (!m_completed.lastRun(digest, now)) {
+            blame(digest, false, now);
+        }
+        return;
+    }
     if (m_broken.empty()) {
         m_windowStart = now;
         m_runningAtWindowStart = running;
@@ -147,6 +153,8 @@
         return std::nullopt;
     }
 
+    m_lastCrashAt = m_windowStart;
+
     // Step 1. The requests that may have caused it: all that ran there, but for those that are known to complete
     forgetAbandoned(now);
     const auto proven = [&](request_digest digest) { return m_completed.lastRun(digest, now).has_value(); };
@@ -291,6 +299,15 @@
     return entries;
 }
 
+std::vector<suspicion> suspects::known() const
+{
+    std::vector<suspicion> entries;
+    for (const auto &[digest, entry] : m_entries) {
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
 std::vector<suspicion> suspects::takeUpdates()
 {
     return std::exchange(m_updates, {});
--- a/packages/policy/tests/suspects_test.cpp
+++ b/packages/policy/tests/suspects_test.cpp
@@ -81,6 +81,22 @@
     EXPECT_EQ(table.level(poison, {1100}), suspicion_level::suspect);
 }
 
+// Guards against a crash that counts twice, since the connection of one of its calls was seen to break after the others.
+TEST(suspects, a_call_that_breaks_after_the_crash_that_broke_it_is_no_further_crash)
+{
+    suspects table({});
+    table.recordBrokenCall(poison, 2, {1000}, millis{900});
+    table.tick({1100}, false, {innocent});
+    table.recordBrokenCall(innocent, 1, {1200}, millis{950});
+    EXPECT_EQ(table.level(innocent, {1200}), suspicion_level::suspect) << "it ran there";
+    table.recordBrokenCall(poison, 2, {2000}, millis{1900});
+    table.tick({2100}, false, {innocent});
+    table.recordBrokenCall(innocent, 1, {2200}, millis{1950});
+    table.tick({2300});
+    EXPECT_EQ(table.level(innocent, {2300}), suspicion_level::suspect);
+    EXPECT_EQ(table.level(poison, {2300}), suspicion_level::suspect);
+}
+
 // Guards against a request that is served all the time and is suspected, and convicted, for each new request that crashes upstreams beside it.
 TEST(suspects, a_request_that_completes_is_not_suspected_for_what_others_cause)
 {
