An unknown start of an upstream's run is no wildcard

Cause: a heartbeat that lacks `born` was decoded as one with an unknown start, and an unknown start matched any run of its instance and made a new run of another one. Ruled out: late heartbeats of the upstream itself (all state their start and are ordered).

A departure without one is still about the run known under that id.

Signature unchanged.

--- a/packages/upstream/src/announcement_order.cpp
+++ b/packages/upstream/src/announcement_order.cpp
@@ -17,11 +17,18 @@
 /// Number of departed runs that are remembered. Messages may be some seconds late, a time in which an upstream starts a few times at most.
 constexpr std::size_t departedMax = 16;
 
-bool isSameRun(const announcement_position &left, const announcement_position &right)
+/// @return whether two positions may be of the same run: one that states no start may be of any run of its instance.
+bool mayBeSameRun(const announcement_position &left, const announcement_position &right)
 {
     return left.instance == right.instance && (!left.startedAt || !right.startedAt || *left.startedAt == *right.startedAt);
 }
 
+/// @return whether an announcement is of a known run. An upstream that states its start does so in all its announcements.
+bool isSameRun(const announcement_position &announced, const announcement_position &known)
+{
+    return mayBeSameRun(announced, known) && (announced.startedAt || !known.startedAt);
+}
+
 bool isLaterInRun(const announcement_position &position, const announcement_position &known)
 {
     return !position.sequence || !known.sequence || *position.sequence > *known.sequence;
@@ -84,8 +91,8 @@
     if (!m_known) {
         return true;
     }
-    if (position.startedAt && m_newest.startedAt) {
-        return *position.startedAt > *m_newest.startedAt;
+    if (m_newest.startedAt) {
+        return position.startedAt && *position.startedAt > *m_newest.startedAt;
     }
     return position.instance != m_newest.instance && position.instance != m_previous.instance;
 }
@@ -106,7 +113,7 @@
     }
     ++m_candidateCount;
     m_candidate = position;
-    const bool mayBeLate = isSameRun(position, m_newest) || isSameRun(position, m_previous) || precedesDeparture(position);
+    const bool mayBeLate = mayBeSameRun(position, m_newest) || mayBeSameRun(position, m_previous) || precedesDeparture(position);
     return m_candidateCount >= persistentCount && (!mayBeLate || now - m_candidateSince >= persistentSpan);
 }
 
@@ -148,7 +155,7 @@
 
 bool announcement_order::acceptDeregistration(const announcement_position &position)
 {
-    if (m_known && !position.instance.empty() && !isSameRun(position, m_newest)) {
+    if (m_known && !position.instance.empty() && !mayBeSameRun(position, m_newest)) {
         return recordDeparture(runOf(position));
     }
     if (!m_known) {
--- a/packages/upstream/tests/announcement_order_test.cpp
+++ b/packages/upstream/tests/announcement_order_test.cpp
@@ -263,6 +263,26 @@
 }
 
 // The invariant: whatever was announced before, true announcements in a row bring the upstream back.
+// Guards against a leaving upstream that gets work again, since an announcement of another writer under its instance name states no start (review/12).
+TEST(announcement_order, an_announcement_without_a_start_is_not_of_a_run_that_states_one)
+{
+    announcement_order order;
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 5}, now));
+    EXPECT_FALSE(order.acceptAnnouncement({"a", std::nullopt, 6}, now));
+    EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, 6}, now)) << "it does not count as an announcement of that run";
+}
+
+// Guards against an upstream that is out of use as long as another writer announces its address under other instance names.
+TEST(announcement_order, announcements_without_a_start_do_not_displace_a_run_that_announces_itself)
+{
+    announcement_order order;
+    for (std::uint64_t turn = 1; turn < 20; ++turn) {
+        const millis at{1500.0 * static_cast<double>(turn)};
+        EXPECT_TRUE(order.acceptAnnouncement({"a", 1000, turn}, at));
+        EXPECT_FALSE(order.acceptAnnouncement({"b" + std::to_string(turn % 3), std::nullopt, turn}, at + millis{700}));
+    }
+}
+
 RC_GTEST_PROP(announcement_order, a_few_true_announcements_in_a_row_are_enough_after_any_odd_ones, ())
 {
     constexpr std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
