That an upstream drains outlives a restart of its node

Cause: only a departure was recorded with the other members and in the store; that an upstream drains was known to the process alone.

Change: where the interface says that draining is final, which the platform's does, the first announcement that says so is recorded like a departure, and acknowledged when it is, after 0.4 s at the latest. onUpstreamGone and applyDrain each set the drain; applyDrain alone does now, so that suspects which wait are refused in both cases.

Test: announcements.that_an_upstream_drains_is_recorded_before_it_is_acknowledged; on the code before nothing is recorded (the option did not exist).

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -122,14 +122,13 @@
     m_service.clear();
     m_pool.closeIdle();
     m_targetConnections = -1;
-    std::vector<admission_action> actions;
-    m_serving.setDraining(true, monotonicNow(), actions);
-    execute(actions);
+    applyDrain();
 }
 
+/// Gives the upstream no new work if there is a reason for that.
 void call_path::applyDrain()
 {
-    const bool draining = m_announcement.draining || m_upstreamLeaving || m_operatorDrain || m_shuttingDown;
+    const bool draining = m_service.empty() || m_announcement.draining || m_upstreamLeaving || m_operatorDrain || m_shuttingDown;
     if (draining != m_serving.draining()) {
         logEvent(log_level::info, "upstream_draining", {{"service", m_service}, {"draining", draining ? "true" : "false"}});
     }
--- a/apps/turmericspard/interface_profile.h
+++ b/apps/turmericspard/interface_profile.h
@@ -18,6 +18,7 @@
 {
     call_dialect calls;
     notice_reader readNotice = turmericspar::readNotice;
+    bool drainingIsFinal = false; ///< see announcement_options
     std::string readinessPath = "/readyz";
     std::unique_ptr<store_protocol> (*makeStoreForm)() = makeConsulProtocol;
     document_location configurationDocument; ///< where operators keep the configuration in the store; if it has no key, they submit patches to nodes instead
--- a/apps/turmericspard/node_daemon.cpp
+++ b/apps/turmericspard/node_daemon.cpp
@@ -60,7 +60,9 @@
     , m_readiness(m_loop, {}, [this](const http_exchange_ptr &exchange) { respondReadiness(exchange); })
     , m_upstream(
           m_loop,
-          {.listen = settings.upstream, .knowsService = [this](const std::string &service) { return knowsService(service); }},
+          {.listen = settings.upstream,
+           .knowsService = [this](const std::string &service) { return knowsService(service); },
+           .drainingIsFinal = m_profile.drainingIsFinal},
           m_profile.readNotice,
           [this](const announcement &received) {
               m_calls.onAnnouncement(received);
--- a/packages/upstream/include/turmericspar/upstream/announcement.h
+++ b/packages/upstream/include/turmericspar/upstream/announcement.h
@@ -57,6 +57,7 @@
     millis timeout{6000}; ///< an upstream that sends no announcement for this long is considered gone
     std::function<bool(const std::string &service)> knowsService; ///< whether the configuration in force names a service; unset if any may be announced
     millis recordTimeout{400}; ///< after which a deregistration is acknowledged though its record is not confirmed: upstreams wait for a second
+    bool drainingIsFinal = false; ///< whether an upstream that announces that it drains never takes work again, so that this is recorded like a departure
 };
 
 /// Receives the upstream's announcements. Reports each announcement, and the loss of the upstream when it deregisters or times out.
@@ -85,6 +86,7 @@
     bool namesOtherService(const announcement &content) const;
     bool ignoresOddNotice(const upstream_notice &notice) const;
     void deregister(const http_exchange_ptr &exchange, const announcement &content);
+    void acknowledgeOnceRecorded(const http_exchange_ptr &exchange, const upstream_run &departed);
     void acknowledge(std::uint64_t record, const http_exchange_ptr &exchange);
     void reportLost(const std::string &reason);
 
@@ -99,6 +101,7 @@
     event_watcher_ptr m_timeoutTimer;
     std::string m_service; ///< of the last announcement that was accepted
     bool m_isPresent = false;
+    upstream_run m_drainingRun; ///< the last one that was recorded because it drains
     std::uint64_t m_nextRecord = 1;
     std::map<std::uint64_t, event_watcher_ptr> m_pendingRecords; ///< deregistrations that are not acknowledged yet, with the end of the time for that
 };
--- a/packages/upstream/src/announcement.cpp
+++ b/packages/upstream/src/announcement.cpp
@@ -175,6 +175,11 @@
         exchange->respond({204, {}, {}});
         return;
     }
+    acknowledgeOnceRecorded(exchange, departed);
+}
+
+void announcement_server::acknowledgeOnceRecorded(const http_exchange_ptr &exchange, const upstream_run &departed)
+{
     const auto id = m_nextRecord++;
     m_pendingRecords[id] = m_loop.after(m_options.recordTimeout, [this, id, exchange] {
         logEvent(log_level::warning, "departure_not_recorded", {{"peer", exchange->peer().text()}, {"span_ms", m_options.recordTimeout}});
@@ -218,6 +223,13 @@
         m_service = content.service;
         m_timeoutTimer->restart(m_options.timeout);
         m_onAnnouncement(content);
+        const auto run = runOf({content.instance, content.startedAt, content.sequence});
+        if (content.draining && m_options.drainingIsFinal && run != m_drainingRun) {
+            // An earlier announcement may arrive after this one, at another process of this node.
+            m_drainingRun = run;
+            acknowledgeOnceRecorded(exchange, run);
+            return;
+        }
     } else {
         logEvent(log_level::info, "announcement_outdated", {{"instance", content.instance}, {"sequence", content.sequence.value_or(0)}});
     }
--- a/packages/upstream/tests/announcement_test.cpp
+++ b/packages/upstream/tests/announcement_test.cpp
@@ -63,7 +63,7 @@
     announcements()
         : server(
             loop,
-            {{"127.0.0.1", 0}, {6000}, [](const std::string &service) { return service == "s"; }, {1000}},
+            {{"127.0.0.1", 0}, {6000}, [](const std::string &service) { return service == "s"; }, {1000}, true},
             readNotice,
             [this](const announcement &received) { accepted.push_back(received.instance); },
             [this](const std::string &) { ++losses; },
@@ -95,11 +95,11 @@
         return status;
     }
 
-    int announce(const std::string &instance, const std::string &service, std::uint64_t startedAt)
+    int announce(const std::string &instance, const std::string &service, std::uint64_t startedAt, bool draining = false)
     {
         return send("PUT",
                     R"({"service":")" + service + R"(","address":"127.0.0.1:80","slots":1,"connections":1,"instance":")" + instance + R"(","started_at_ms":)"
-                        + std::to_string(startedAt) + "}");
+                        + std::to_string(startedAt) + (draining ? R"(,"draining":true})" : "}"));
     }
 
     event_loop loop;
@@ -120,6 +120,40 @@
     EXPECT_EQ(accepted, (std::vector<std::string>{"a", "b"}));
 }
 
+// Guards against a draining upstream that gets work again: its node was restarted, and an announcement from before arrived after that.
+TEST_F(announcements, that_an_upstream_drains_is_recorded_before_it_is_acknowledged)
+{
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    EXPECT_TRUE(departures.empty());
+    EXPECT_EQ(announce("a", "s", 1000, true), 204);
+    EXPECT_EQ(announce("a", "s", 1000, true), 204);
+    ASSERT_EQ(departures.size(), 1U) << "once for each run";
+    EXPECT_EQ(losses, 0) << "it is still there";
+
+    std::vector<std::string> acceptedLater;
+    announcement_server restarted(
+        loop,
+        {{"127.0.0.1", 0}, {6000}, {}, {1000}, true},
+        readNotice,
+        [&](const announcement &received) { acceptedLater.push_back(received.instance); },
+        [](const std::string &) {},
+        [](const upstream_run &, std::function<void()> recorded) { recorded(); });
+    restarted.recordDeparture(departures[0]);
+    address = *restarted.listen();
+    EXPECT_EQ(announce("a", "s", 1000), 204);
+    EXPECT_TRUE(acceptedLater.empty());
+    EXPECT_EQ(announce("a", "s", 2000), 204);
+    EXPECT_EQ(acceptedLater.size(), 1U) << "a later run";
+}
+
+TEST_F(announcements, that_an_upstream_drains_is_acknowledged_in_time_if_it_cannot_be_recorded)
+{
+    records = false;
+    const millis before = monotonicNow();
+    EXPECT_EQ(announce("a", "s", 1000, true), 204);
+    EXPECT_LT(monotonicNow() - before, millis{1500});
+}
+
 // Guards against an upstream that is displaced by a start that no clock has reached, and against a goodbye that would cover all its runs.
 TEST_F(announcements, a_start_or_sequence_beyond_any_clock_displaces_no_upstream)
 {
