A request that has to be isolated is tried at one node of its service

Cause: a conviction ends at the same moment on all nodes, and each of them ran the request as a suspect of its own. Ruled out: that they are told of the next conviction too late; they are told within milliseconds, but a crash is known as one after 50 ms and a probe.

Change: an isolated suspect is tried at the node that rendezvous hashing of its digest over the ready members names. Another node refuses it and names that one, and the node where the request entered sends it there, once. No suspect starts while it is not decided whether the upstream has crashed.

Tests: suspect_gate_test.an_isolated_suspect_is_tried_at_one_node_only, no_suspect_starts_while_it_is_not_decided_whether_the_upstream_has_crashed; call_dispatcher_test.a_request_that_one_node_alone_runs_is_sent_there_once; load_balancer.nodes_that_know_the_same_upstreams_agree_on_the_one_for_a_key.

--- a/apps/turmericspard/call_entry.cpp
+++ b/apps/turmericspard/call_entry.cpp
@@ -385,6 +385,7 @@
     result.limit = static_cast<int>(reply.limit());
     result.pending = static_cast<int>(reply.pending());
     result.roomIn = millis{std::max(reply.room_in_ms(), 0.0)};
+    result.tryAt = m_routes.serves(reply.try_at(), found->second.service) ? reply.try_at() : node_id();
 
     // The shed level of a called service also counts against the class of the call that called it
     auto &call = found->second;
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -207,6 +207,7 @@
     bool isKnownService(const std::string &service) const;
     void refuseImmediately(const http_exchange_ptr &exchange, const call_description &description, refusal_reason reason, const std::string &detail);
     void offer(call_id id);
+    request_standing standingOf(request_digest digest) const;
     void releaseWaitingCalls();
     void recordEvidence(const upstream_call &call, const http_outcome &outcome, const wire::CallReply &reply);
     void investigateCrash();
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -67,11 +67,11 @@
     const call_id id = m_nextCallId++;
     setField(request.fields, m_profile.calls.callerService, callerService);
     const auto digest = digestOf(m_service, request);
-    const auto standing = m_settings.mode == policy_mode::full ? m_suspects.standing(digest, monotonicNow()) : request_standing::proven;
+    const auto standing = m_settings.mode == policy_mode::full ? standingOf(digest) : request_standing::proven;
     upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}, {}};
     m_upstreamCallsByOrigin[{call.origin.from, call.origin.call}] = id;
     m_upstreamCalls.emplace(id, std::move(call));
-    if (standing == request_standing::convicted) {
+    if (standing == request_standing::convicted || standing == request_standing::tried_elsewhere) {
         refuseUpstreamCall(id, refusal_reason::suspect);
     } else if (standing == request_standing::proven) {
         offer(id);
@@ -96,6 +96,13 @@
     execute(actions);
 }
 
+/// @return how this node runs a request, by what is known of it.
+request_standing call_path::standingOf(request_digest digest) const
+{
+    const auto standing = m_suspects.standing(digest, monotonicNow());
+    return standing == request_standing::isolated_suspect ? standingAt(m_self, m_routes.nodeFor(m_service, digest), standing) : standing;
+}
+
 /// Offers the calls that no longer have to wait for suspects.
 void call_path::releaseWaitingCalls()
 {
@@ -103,10 +110,11 @@
         return;
     }
     const millis now = monotonicNow();
-    const auto standingOf = [&](call_id id) { return m_suspects.standing(m_upstreamCalls.at(id).digest, now); };
-    for (const auto id : m_suspectGate.release(now, m_suspects.quiet(now), standingOf)) {
+    const upstream_state_for_suspects upstream{m_suspects.quiet(now), !m_suspects.undecided()};
+    for (const auto id : m_suspectGate.release(now, upstream, [this](call_id id) { return standingOf(m_upstreamCalls.at(id).digest); })) {
         const auto &call = m_upstreamCalls.at(id);
-        if (m_suspects.level(call.digest, now) == suspicion_level::convicted) {
+        const auto standing = standingOf(call.digest);
+        if (standing == request_standing::convicted || standing == request_standing::tried_elsewhere) {
             refuseUpstreamCall(id, refusal_reason::suspect);
         } else if (call.context.deadline <= now) {
             refuseUpstreamCall(id, refusal_reason::deadline);
@@ -486,6 +494,8 @@
     reply.set_room_in_ms(roomIn.count);
     if (const auto conviction = m_suspects.conviction(call.digest, monotonicNow()); conviction && reason == refusal_reason::suspect) {
         toWire(*conviction, monotonicNow(), *reply.mutable_conviction());
+    } else if (reason == refusal_reason::suspect) {
+        reply.set_try_at(m_routes.nodeFor(m_service, call.digest));
     }
     m_rateLimitedCount += roomIn.count > 0 ? 1 : 0;
     addLoadReport(call.context.klass, reply);
--- a/packages/policy/include/turmericspar/policy/call_dispatcher.h
+++ b/packages/policy/include/turmericspar/policy/call_dispatcher.h
@@ -52,6 +52,7 @@
     int limit = 0; ///< concurrency limit of the upstream
     int pending = 0; ///< calls running or queued there
     millis roomIn{0}; ///< if the rate limit of the upstream left no room: the time after which there may be; else 0
+    node_id tryAt; ///< the only node of the service that runs this request at present; empty if any does
 };
 
 /// Dispatches the calls that this node receives from callers. It does no I/O and reads no clock.
@@ -93,6 +94,7 @@
         int retriesGranted = 0; ///< to the present attempt
         bool mayHaveRun = false; ///< whether an earlier attempt may have run
         bool withdrawn = false; ///< whether no further attempt is made
+        bool redirected = false; ///< whether it was sent to the node that another one named
         node_id node;
         millis sentAt;
         millis retryIn{0}; ///< see dispatch_action
@@ -100,8 +102,10 @@
     };
 
     void forward(call_id id, pending_call &call, millis now, std::vector<dispatch_action> &actions);
+    void sendTo(const node_id &node, call_id id, pending_call &call, millis now, std::vector<dispatch_action> &actions);
     void finish(call_id id, call_outcome outcome, refusal_reason reason, bool useAnswer, bool finalFailure, std::vector<dispatch_action> &actions);
     void cancelAttempt(call_id id, const pending_call &call, millis now, std::vector<dispatch_action> &actions);
+    static bool mayRedirect(const pending_call &call, const attempt_result &result);
     bool mayReroute(const pending_call &call, const attempt_result &result, millis now);
     bool mayRetry(pending_call &call, const attempt_result &result, millis now);
     std::string levelKey(const std::string &service, const std::string &klass) const;
--- a/packages/policy/include/turmericspar/policy/load_balancer.h
+++ b/packages/policy/include/turmericspar/policy/load_balancer.h
@@ -89,6 +89,10 @@
     /// @return whether any node has ever announced the service.
     bool knows(const std::string &service) const { return m_services.contains(service); }
     std::size_t readyCount(const std::string &service) const;
+    /// @return the node of a service that handles a key: the same at all nodes that know the same ready nodes; empty if there is none.
+    node_id nodeFor(const std::string &service, std::uint64_t key) const;
+    /// @return whether a node is known and ready, and of a service.
+    bool serves(const node_id &node, const std::string &service) const;
     /// @return the average latency of a node; 0 if it is unknown.
     millis latency(const node_id &node) const;
 
--- a/packages/policy/include/turmericspar/policy/suspect_gate.h
+++ b/packages/policy/include/turmericspar/policy/suspect_gate.h
@@ -4,6 +4,7 @@
 
 #include "turmericspar/base/clock.h"
 #include "turmericspar/policy/call.h"
+#include "turmericspar/policy/load_balancer.h"
 #include "turmericspar/policy/suspects.h"
 
 #include <deque>
@@ -20,6 +21,18 @@
     double holdShare = 0.5; ///< share of the time in which they may have to wait
 };
 
+/// What an upstream may still be busy with beside the calls that it is known to run.
+struct upstream_state_for_suspects
+{
+    bool quiet = true; ///< whether no call that this node gave up may still run there
+    bool decided = true; ///< whether it is known of all calls that broke if that was a crash
+};
+
+/// @return the standing by which a node treats a request: an isolated suspect is tried at one node of its service only, so that one upstream is lost
+/// if it crashes that again.
+/// @param trialNode the node where such a request is tried; empty if none is known
+request_standing standingAt(const node_id &self, const node_id &trialNode, request_standing standing);
+
 /// Suspects run one at a time. One that is isolated starts when no call of an unproven request is left at the upstream, and such calls wait until it
 /// has ended. Calls of proven requests do not pass through here.
 class suspect_gate
@@ -32,9 +45,8 @@
     /// Adds a call that waits until release() returns it.
     void enter(call_id id) { m_waiting.push_back(id); }
     /// @param standingOf present standing of a call that waits
-    /// @param quiet whether no call that this node gave up may still run at the upstream
-    /// @return the calls that may be offered to the upstream now, and those of convicted requests, which are not run
-    std::vector<call_id> release(millis now, bool quiet, const standing_function &standingOf);
+    /// @return the calls that may be offered to the upstream now, and those that are not run at this node
+    std::vector<call_id> release(millis now, const upstream_state_for_suspects &upstream, const standing_function &standingOf);
     /// Records that a call that release() returned has ended or was not started.
     void ended(call_id id, millis now);
     /// Takes a call out that waits here.
@@ -49,8 +61,8 @@
     bool holding(millis now) const;
 
 private:
-    bool mayRelease(call_id id, request_standing standing, millis now, bool quiet);
-    bool mayIsolate(call_id id, millis now, bool quiet);
+    bool mayRelease(call_id id, request_standing standing, millis now, const upstream_state_for_suspects &upstream);
+    bool mayIsolate(call_id id, millis now, const upstream_state_for_suspects &upstream);
     void endHold(millis now);
 
     const suspect_gate_tunables m_tuning;
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -42,6 +42,7 @@
     unproven, ///< nothing is known of it
     suspect, ///< it runs beside no other suspect
     isolated_suspect, ///< it runs beside proven requests only, so that a crash convicts it and its completion clears it
+    tried_elsewhere, ///< an isolated suspect that is not run at this node, but at another one of its service
     convicted, ///< it is not run
 };
 
@@ -90,6 +91,8 @@
     void recordBrokenCall(request_digest digest, std::size_t running, millis now, std::optional<millis> startedAt = {});
     /// Records a call that this node gave up while it ran: the upstream may go on running it, and crash.
     void recordAbandonedCall(request_digest digest, millis now);
+    /// @return whether calls broke, and it is not decided yet whether that was a crash.
+    bool undecided() const { return !m_broken.empty(); }
     /// @return whether no call of a request that is not known to complete was given up so lately that it may still run.
     bool quiet(millis now);
     /// Records a call that ran to its end and was answered: its request is cleared, also of a conviction.
--- a/packages/policy/src/call_dispatcher.cpp
+++ b/packages/policy/src/call_dispatcher.cpp
@@ -55,6 +55,11 @@
         finish(id, outcome, reason, call.attempt > 0, call.attempt > 0, actions);
         return;
     }
+    sendTo(node, id, call, now, actions);
+}
+
+void call_dispatcher::sendTo(const node_id &node, call_id id, pending_call &call, millis now, std::vector<dispatch_action> &actions)
+{
     ++call.attempt;
     call.node = node;
     call.sentAt = now;
@@ -90,6 +95,13 @@
     actions.push_back(std::move(action));
 }
 
+/// @return whether a call is sent to the node that the serving node named. A second one that names another knows other members, so that this ends.
+bool call_dispatcher::mayRedirect(const pending_call &call, const attempt_result &result)
+{
+    const bool tried = std::find(call.tried.begin(), call.tried.end(), result.tryAt) != call.tried.end();
+    return result.outcome == call_outcome::not_run && !result.tryAt.empty() && !call.withdrawn && !call.redirected && !tried;
+}
+
 /// @return whether a call that certainly did not run may be sent to another upstream. This does not use a retry of the request.
 bool call_dispatcher::mayReroute(const pending_call &call, const attempt_result &result, millis now)
 {
@@ -168,6 +180,11 @@
     call.retriesUsed += std::clamp(result.retriesUsed, 0, call.retriesGranted);
 
     // Step 2. Send it to another upstream if it was not run
+    if (mayRedirect(call, result)) {
+        call.redirected = true;
+        sendTo(result.tryAt, id, call, now, actions);
+        return;
+    }
     if (mayReroute(call, result, now)) {
         ++call.reroutes;
         forward(id, call, now, actions);
--- a/packages/policy/src/load_balancer.cpp
+++ b/packages/policy/src/load_balancer.cpp
@@ -1,5 +1,6 @@
 #include "turmericspar/policy/load_balancer.h"
 
+#include "turmericspar/base/secret.h"
 #include "turmericspar/policy/moving_average.h"
 
 #include <algorithm>
@@ -268,6 +269,31 @@
     return found == m_services.end() ? 0 : found->second.all.size();
 }
 
+node_id load_balancer::nodeFor(const std::string &service, std::uint64_t key) const
+{
+    // Rendezvous hashing: when a node comes or goes, only its own keys change hands.
+    const auto found = m_services.find(service);
+    node_id best;
+    std::uint64_t bestWeight = 0;
+    if (found == m_services.end()) {
+        return best;
+    }
+    for (const auto *upstream : found->second.all) {
+        const auto weight = stableHash(upstream->node, key);
+        if (best.empty() || weight > bestWeight || (weight == bestWeight && upstream->node < best)) {
+            best = upstream->node;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+bool load_balancer::serves(const node_id &node, const std::string &service) const
+{
+    const auto found = m_upstreams.find(node);
+    return found != m_upstreams.end() && found->second->service == service;
+}
+
 millis load_balancer::latency(const node_id &node) const
 {
     const auto found = m_upstreams.find(node);
--- a/packages/policy/src/suspect_gate.cpp
+++ b/packages/policy/src/suspect_gate.cpp
@@ -5,6 +5,12 @@
 
 namespace turmericspar {
 
+request_standing standingAt(const node_id &self, const node_id &trialNode, request_standing standing)
+{
+    const bool elsewhere = standing == request_standing::isolated_suspect && !trialNode.empty() && trialNode != self;
+    return elsewhere ? request_standing::tried_elsewhere : standing;
+}
+
 bool suspect_gate::holding(millis now) const
 {
     return m_holdSince && now - *m_holdSince < m_tuning.holdMax;
@@ -21,7 +27,7 @@
 }
 
 /// @return whether a suspect may start in isolation. Holds calls of unproven requests back until those at the upstream have ended.
-bool suspect_gate::mayIsolate(call_id id, millis now, bool quiet)
+bool suspect_gate::mayIsolate(call_id id, millis now, const upstream_state_for_suspects &upstream)
 {
     if (m_suspect || (!m_holdSince && now < m_nextHoldAt)) {
         return false;
@@ -29,17 +35,18 @@
     if (!m_holdSince) {
         m_holdSince = now;
     }
-    if (!quiet || !m_unproven.empty()) {
+    if (!upstream.quiet || !upstream.decided || !m_unproven.empty()) {
         return false;
     }
     m_suspect = id;
     return true;
 }
 
-bool suspect_gate::mayRelease(call_id id, request_standing standing, millis now, bool quiet)
+bool suspect_gate::mayRelease(call_id id, request_standing standing, millis now, const upstream_state_for_suspects &upstream)
 {
     switch (standing) {
     case request_standing::proven:
+    case request_standing::tried_elsewhere:
     case request_standing::convicted:
         return true;
     case request_standing::unproven:
@@ -49,18 +56,18 @@
         }
         return false;
     case request_standing::suspect:
-        if (!m_suspect && !holding(now)) {
+        if (!m_suspect && upstream.decided && !holding(now)) {
             m_suspect = id;
             return true;
         }
         return false;
     case request_standing::isolated_suspect:
-        return mayIsolate(id, now, quiet);
+        return mayIsolate(id, now, upstream);
     }
     return false;
 }
 
-std::vector<call_id> suspect_gate::release(millis now, bool quiet, const standing_function &standingOf)
+std::vector<call_id> suspect_gate::release(millis now, const upstream_state_for_suspects &upstream, const standing_function &standingOf)
 {
     // Step 1. End a hold that has lasted too long, or for which no suspect is left
     std::vector<std::pair<call_id, request_standing>> waiting;
@@ -77,7 +84,7 @@
     std::vector<call_id> released;
     std::deque<call_id> kept;
     for (const auto &[id, standing] : waiting) {
-        if (mayRelease(id, standing, now, quiet)) {
+        if (mayRelease(id, standing, now, upstream)) {
             released.push_back(id);
         } else {
             kept.push_back(id);
--- a/packages/policy/tests/retry_test.cpp
+++ b/packages/policy/tests/retry_test.cpp
@@ -128,6 +128,57 @@
     EXPECT_EQ(reply(1, draining).front().type, dispatch_action::action_type::forward);
 }
 
+TEST_F(call_dispatcher_test, a_request_that_one_node_alone_runs_is_sent_there_once)
+{
+    const auto first = submit();
+    ASSERT_EQ(first.size(), 1U);
+    const node_id other = first[0].node == "a" ? "b" : "a";
+    attempt_result refused;
+    refused.outcome = call_outcome::not_run;
+    refused.reason = refusal_reason::suspect;
+    refused.tryAt = other;
+    std::vector<dispatch_action> actions;
+    dispatcher.replied(1, 1, refused, {10}, actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(actions[0].type, dispatch_action::action_type::forward);
+    EXPECT_EQ(actions[0].node, other);
+
+    // That node knows other members, and names one of them.
+    refused.tryAt = "c";
+    actions.clear();
+    dispatcher.replied(1, 2, refused, {20}, actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(actions[0].type, dispatch_action::action_type::finish);
+    EXPECT_EQ(actions[0].outcome, call_outcome::not_run);
+}
+
+TEST(load_balancer, nodes_that_know_the_same_upstreams_agree_on_the_one_for_a_key)
+{
+    const tunables tuning;
+    load_balancer left(tuning, "d", 1);
+    load_balancer right(tuning, "other", 2);
+    for (const auto *node : {"a", "b", "c", "d", "e"}) {
+        left.update(node, "s", "d", true);
+    }
+    for (const auto *node : {"e", "c", "a", "d", "b"}) {
+        right.update(node, "s", "d", true);
+    }
+    std::map<node_id, int> keys;
+    for (std::uint64_t key = 0; key < 1000; ++key) {
+        const auto node = left.nodeFor("s", key);
+        EXPECT_EQ(node, right.nodeFor("s", key));
+        ++keys[node];
+        right.update(node == "a" ? "b" : "a", "s", "d", false);
+        EXPECT_EQ(right.nodeFor("s", key), node) << "another node that goes takes no key along";
+        right.update(node == "a" ? "b" : "a", "s", "d", true);
+    }
+    EXPECT_EQ(keys.size(), 5U);
+    EXPECT_EQ(left.nodeFor("unknown", 1), "");
+    EXPECT_TRUE(left.serves("a", "s"));
+    EXPECT_FALSE(left.serves("a", "other"));
+    EXPECT_FALSE(left.serves("", "s"));
+}
+
 TEST_F(call_dispatcher_test, withdrawn_calls_are_sent_nowhere_else)
 {
     submit();
--- a/packages/policy/tests/suspect_gate_test.cpp
+++ b/packages/policy/tests/suspect_gate_test.cpp
@@ -21,7 +21,7 @@
 
     std::vector<call_id> release(millis now, bool quiet = true)
     {
-        return gate.release(now, quiet, [this](call_id id) { return standings.at(id); });
+        return gate.release(now, {quiet, true}, [this](call_id id) { return standings.at(id); });
     }
 
     using ids = std::vector<call_id>;
@@ -38,6 +38,26 @@
     EXPECT_EQ(release({10}), ids{2});
 }
 
+// Guards against a suspect that crashes the upstream once more while its last crash is under investigation.
+TEST_F(suspect_gate_test, no_suspect_starts_while_it_is_not_decided_whether_the_upstream_has_crashed)
+{
+    const auto standingOf = [](call_id id) { return id == 1 ? request_standing::suspect : request_standing::isolated_suspect; };
+    gate.enter(1);
+    gate.enter(2);
+    EXPECT_EQ(gate.release({0}, {true, false}, standingOf), ids{});
+    EXPECT_EQ(gate.release({20}, {true, true}, standingOf), ids{2}) << "for which the other one waits";
+}
+
+// Guards against a request that crashes one upstream of each node when its conviction ends (review/13).
+TEST_F(suspect_gate_test, an_isolated_suspect_is_tried_at_one_node_only)
+{
+    EXPECT_EQ(standingAt("a", "a", request_standing::isolated_suspect), request_standing::isolated_suspect);
+    EXPECT_EQ(standingAt("a", "", request_standing::isolated_suspect), request_standing::isolated_suspect) << "this node knows no other";
+    EXPECT_EQ(standingAt("a", "b", request_standing::isolated_suspect), request_standing::tried_elsewhere);
+    EXPECT_EQ(standingAt("a", "b", request_standing::suspect), request_standing::suspect);
+    EXPECT_EQ(enter(1, request_standing::tried_elsewhere, {0}), ids{1}) << "to be refused";
+}
+
 // Guards against copies of a frequent request that go on waiting for each other though it is no longer suspected.
 TEST_F(suspect_gate_test, what_is_cleared_while_it_waits_is_released_at_once)
 {
--- a/packages/policy/tests/suspects_model_test.cpp
+++ b/packages/policy/tests/suspects_model_test.cpp
@@ -66,7 +66,7 @@
     void release(model_node &node)
     {
         const auto standingOf = [&](call_id id) { return node.table.standing(node.calls.at(id), now); };
-        for (const auto id : node.gate.release(now, node.table.quiet(now), standingOf)) {
+        for (const auto id : node.gate.release(now, {node.table.quiet(now), !node.table.undecided()}, standingOf)) {
             if (node.table.level(node.calls.at(id), now) == suspicion_level::convicted) {
                 end(node, id);
             } else {
