What the end of a call shows about its request is one decision

A request that crashes upstreams could be cleared by an upstream that was full: a refusal, "not run", counted as a run that had ended.

Cause: any answer without an error was recorded as a completed run. Copies of a request that break late count as one crash with the others. A call that the upstream makes for one that it runs is not held back for a suspect: it would wait for its parent.

Signature unchanged.

--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -68,12 +68,14 @@
     setField(request.fields, m_profile.calls.callerService, callerService);
     const auto digest = digestOf(m_service, request);
     const auto standing = m_settings.mode == policy_mode::full ? standingOf(digest) : request_standing::proven;
+    // A call that the upstream makes for one that it runs would otherwise wait for that one.
+    const bool ofRunningCall = origin.local && context.depth > 0;
     upstream_call call{std::move(origin), std::move(context), std::move(request), digest, monotonicNow(), {0}, {}};
     m_upstreamCallsByOrigin[{call.origin.from, call.origin.call}] = id;
     m_upstreamCalls.emplace(id, std::move(call));
     if (standing == request_standing::convicted || standing == request_standing::tried_elsewhere) {
         refuseUpstreamCall(id, refusal_reason::suspect);
-    } else if (standing == request_standing::proven) {
+    } else if (standing == request_standing::proven || (standing == request_standing::unproven && ofRunningCall)) {
         offer(id);
     } else {
         m_suspectGate.enter(id);
@@ -112,7 +114,11 @@
     const millis now = monotonicNow();
     const upstream_state_for_suspects upstream{m_suspects.quiet(now), !m_suspects.undecided()};
     for (const auto id : m_suspectGate.release(now, upstream, [this](call_id id) { return standingOf(m_upstreamCalls.at(id).digest); })) {
-        const auto &call = m_upstreamCalls.at(id);
+        const auto found = m_upstreamCalls.find(id);
+        if (found == m_upstreamCalls.end()) {
+            continue;
+        }
+        const auto &call = found->second;
         const auto standing = standingOf(call.digest);
         if (standing == request_standing::convicted || standing == request_standing::tried_elsewhere) {
             refuseUpstreamCall(id, refusal_reason::suspect);
@@ -372,20 +378,28 @@
     scheduleTick();
 }
 
-/// Records whether a run of a request completed, or broke as it does when the upstream crashes.
+/// Records what the end of a call shows about its request.
 void call_path::recordEvidence(const upstream_call &call, const http_outcome &outcome, const wire::CallReply &reply)
 {
     const millis now = monotonicNow();
-    if (reply.outcome() == static_cast<std::uint32_t>(call_outcome::ran)) {
-        // An upstream that fails a request may not have run it.
-        if (!isServerError(reply.status())) {
-            m_suspects.recordCompletedCall(call.digest, now);
-        }
-    } else if (outcome.error == errc::connection_broken && outcome.sent) {
+    run_end end;
+    end.sent = outcome.sent;
+    end.ran = reply.outcome() == static_cast<std::uint32_t>(call_outcome::ran);
+    end.refused = reply.reason() == static_cast<std::uint32_t>(refusal_reason::shed_by_upstream);
+    end.broken = outcome.error == errc::connection_broken;
+    end.status = outcome.response.status;
+    switch (evidenceOf(end)) {
+    case run_evidence::nothing:
+        break;
+    case run_evidence::completed:
+        m_suspects.recordCompletedCall(call.digest, now);
+        break;
+    case run_evidence::broke:
         m_suspects.recordBrokenCall(call.digest, m_serving.running(), now, call.startedAt);
-    } else if (outcome.sent && reply.outcome() == static_cast<std::uint32_t>(call_outcome::unknown)) {
-        // This node closed the connection, because of the time or of what it read, which shows no crash.
+        break;
+    case run_evidence::abandoned:
         m_suspects.recordAbandonedCall(call.digest, now);
+        break;
     }
 }
 
--- a/packages/policy/include/turmericspar/policy/suspects.h
+++ b/packages/policy/include/turmericspar/policy/suspects.h
@@ -46,6 +46,26 @@
     convicted, ///< it is not run
 };
 
+/// How a call that was started has ended.
+struct run_end
+{
+    bool sent = false; ///< whether any of it was sent to the upstream
+    bool ran = false; ///< whether the upstream answered that it ran it
+    bool refused = false; ///< whether the upstream answered that it did not run it
+    bool broken = false; ///< whether the upstream ended the connection before an answer
+    int status = 0; ///< of the answer
+};
+
+/// What the end of a call shows about its request.
+enum class run_evidence {
+    nothing,
+    completed, ///< it does not crash whatever runs it
+    broke, ///< the upstream may have crashed, see suspects::recordBrokenCall()
+    abandoned, ///< the upstream may go on running it, see suspects::recordAbandonedCall()
+};
+
+run_evidence evidenceOf(const run_end &end);
+
 /// What the decision on a crash was based on, for the log.
 struct crash_report
 {
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -7,6 +7,19 @@
 
 namespace turmericspar {
 
+run_evidence evidenceOf(const run_end &end)
+{
+    constexpr int firstServerError = 500;
+    if (end.ran) {
+        // An upstream that fails a request may not have run it.
+        return end.status < firstServerError ? run_evidence::completed : run_evidence::nothing;
+    }
+    if (!end.sent || end.refused) {
+        return run_evidence::nothing;
+    }
+    return end.broken ? run_evidence::broke : run_evidence::abandoned;
+}
+
 millis suspects::expiry(const suspicion &entry) const
 {
     const millis life = m_tuning.convictionLifetime * std::pow(m_tuning.convictionGrowth, std::max(entry.convictions - 1, 0));
@@ -89,7 +102,9 @@
 void suspects::recordBrokenCall(request_digest digest, std::size_t running, millis now, std::optional<millis> startedAt)
 {
     if (startedAt && m_lastCrashAt && *startedAt <= *m_lastCrashAt) {
-        if (!m_completed.lastRun(digest, now)) {
+        const auto found = m_entries.find(digest);
+        const bool blamed = found != m_entries.end() && found->second.level != suspicion_level::none && found->second.at >= *m_lastCrashAt;
+        if (!blamed && !m_completed.lastRun(digest, now)) {
             blame(digest, false, now);
         }
         return;
--- a/packages/policy/tests/suspects_test.cpp
+++ b/packages/policy/tests/suspects_test.cpp
@@ -81,6 +81,36 @@
     EXPECT_EQ(table.level(poison, {1100}), suspicion_level::suspect);
 }
 
+// Guards against a request that is cleared by an upstream that refused or failed it without running it.
+TEST(suspects, only_an_answer_to_a_run_shows_that_a_request_completes)
+{
+    const std::vector<std::pair<run_end, run_evidence>> cases{
+        {{true, true, false, false, 200}, run_evidence::completed},
+        {{true, true, false, false, 404}, run_evidence::completed},
+        {{true, true, false, false, 500}, run_evidence::nothing},
+        {{true, true, false, false, 504}, run_evidence::nothing},
+        {{true, false, true, false, 503}, run_evidence::nothing},
+        {{true, false, false, true, 0}, run_evidence::broke},
+        {{true, false, false, false, 0}, run_evidence::abandoned},
+        {{false, false, false, true, 0}, run_evidence::nothing},
+        {{false, false, false, false, 0}, run_evidence::nothing},
+    };
+    for (const auto &[end, expected] : cases) {
+        EXPECT_EQ(evidenceOf(end), expected) << end.sent << end.ran << end.refused << end.broken << end.status;
+    }
+}
+
+// Guards against a request of which many copies ran at one crash, and that counts as having been at several.
+TEST(suspects, copies_that_break_late_count_as_one_crash)
+{
+    suspects table({});
+    table.recordBrokenCall(innocent, 3, {1000}, millis{900});
+    table.recordBrokenCall(poison, 2, {1000}, millis{900});
+    table.tick({1100}, false, {innocent});
+    table.recordBrokenCall(innocent, 1, {1200}, millis{950});
+    EXPECT_EQ(table.standing(innocent, {1200}), request_standing::suspect);
+}
+
 // Guards against a crash that counts twice, since the connection of one of its calls was seen to break after the others.
 TEST(suspects, a_call_that_breaks_after_the_crash_that_broke_it_is_no_further_crash)
 {
