Metrics of suspects and of the calls that wait for them

Cause: on-call engineers saw in the log alone that calls wait because of a suspect.

Change: gauges turmericspar_suspects and turmericspar_held_calls, `held` in /v1/load; upstream_activity is the name of what the gate asks about the upstream.

--- a/apps/turmericspard/call_path.cpp
+++ b/apps/turmericspard/call_path.cpp
@@ -209,6 +209,7 @@
     status.silentCalls = m_silentCallCount;
     status.brokenAnswers = m_brokenAnswerCount;
     status.suspects = m_suspects.activeCount(monotonicNow());
+    status.held = m_suspectGate.waiting();
     status.draining = m_serving.draining();
     return status;
 }
--- a/apps/turmericspard/call_path.h
+++ b/apps/turmericspard/call_path.h
@@ -63,6 +63,7 @@
     std::uint64_t brokenAnswers = 0; ///< answers of the upstream that can't be read or exceed the limits, since the start
     std::uint64_t silentCalls = 0; ///< calls ended because their upstream connection went silent, since the start
     std::size_t suspects = 0; ///< requests that are suspected of crashing upstreams, or refused for it
+    std::size_t held = 0; ///< calls that wait for such requests, or are calls of them
     bool draining = false;
 };
 
--- a/apps/turmericspard/call_serving.cpp
+++ b/apps/turmericspard/call_serving.cpp
@@ -112,7 +112,7 @@
         return;
     }
     const millis now = monotonicNow();
-    const upstream_state_for_suspects upstream{m_suspects.quiet(now), !m_suspects.undecided()};
+    const upstream_activity upstream{m_suspects.quiet(now), !m_suspects.undecided()};
     for (const auto id : m_suspectGate.release(now, upstream, [this](call_id id) { return standingOf(m_upstreamCalls.at(id).digest); })) {
         const auto found = m_upstreamCalls.find(id);
         if (found == m_upstreamCalls.end()) {
--- a/apps/turmericspard/operator_api.cpp
+++ b/apps/turmericspard/operator_api.cpp
@@ -234,6 +234,7 @@
             {"silent_calls", calls.silentCalls},
             {"broken_answers", calls.brokenAnswers},
             {"suspects", calls.suspects},
+            {"held", calls.held},
             {"rank_names", m_control.inForce().ranks},
             {"ranks", ranks}};
 }
@@ -330,6 +331,8 @@
     metrics.setGauge("turmericspar_broken_answers",
                      "Answers of the upstream that can't be read or exceed the limits, since the start",
                      static_cast<double>(calls.brokenAnswers));
+    metrics.setGauge("turmericspar_suspects", "Requests that are suspected of crashing upstreams, or refused for it", static_cast<double>(calls.suspects));
+    metrics.setGauge("turmericspar_held_calls", "Calls that wait for such requests, or are calls of them", static_cast<double>(calls.held));
     metrics.setGauge("turmericspar_config_version", "Configuration version in force", static_cast<double>(m_control.versions().version()));
     metrics.setGauge("turmericspar_members", "Live members known", static_cast<double>(m_control.members().liveCount()));
     metrics.setGauge("turmericspar_store_restores", "Times that the store came back from an older copy", static_cast<double>(m_control.storeRestores()));
--- a/packages/policy/include/turmericspar/policy/suspect_gate.h
+++ b/packages/policy/include/turmericspar/policy/suspect_gate.h
@@ -22,7 +22,7 @@
 };
 
 /// What an upstream may still be busy with beside the calls that it is known to run.
-struct upstream_state_for_suspects
+struct upstream_activity
 {
     bool quiet = true; ///< whether no call that this node gave up may still run there
     bool decided = true; ///< whether it is known of all calls that broke if that was a crash
@@ -46,7 +46,7 @@
     void enter(call_id id) { m_waiting.push_back(id); }
     /// @param standingOf present standing of a call that waits
     /// @return the calls that may be offered to the upstream now, and those that are not run at this node
-    std::vector<call_id> release(millis now, const upstream_state_for_suspects &upstream, const standing_function &standingOf);
+    std::vector<call_id> release(millis now, const upstream_activity &upstream, const standing_function &standingOf);
     /// Records that a call that release() returned has ended or was not started.
     void ended(call_id id, millis now);
     /// Takes a call out that waits here.
@@ -61,8 +61,8 @@
     bool holding(millis now) const;
 
 private:
-    bool mayRelease(call_id id, request_standing standing, millis now, const upstream_state_for_suspects &upstream);
-    bool mayIsolate(call_id id, millis now, const upstream_state_for_suspects &upstream);
+    bool mayRelease(call_id id, request_standing standing, millis now, const upstream_activity &upstream);
+    bool mayIsolate(call_id id, millis now, const upstream_activity &upstream);
     void endHold(millis now);
 
     const suspect_gate_tunables m_tuning;
--- a/packages/policy/src/suspect_gate.cpp
+++ b/packages/policy/src/suspect_gate.cpp
@@ -27,7 +27,7 @@
 }
 
 /// @return whether a suspect may start in isolation. Holds calls of unproven requests back until those at the upstream have ended.
-bool suspect_gate::mayIsolate(call_id id, millis now, const upstream_state_for_suspects &upstream)
+bool suspect_gate::mayIsolate(call_id id, millis now, const upstream_activity &upstream)
 {
     if (m_suspect || (!m_holdSince && now < m_nextHoldAt)) {
         return false;
@@ -42,7 +42,7 @@
     return true;
 }
 
-bool suspect_gate::mayRelease(call_id id, request_standing standing, millis now, const upstream_state_for_suspects &upstream)
+bool suspect_gate::mayRelease(call_id id, request_standing standing, millis now, const upstream_activity &upstream)
 {
     switch (standing) {
     case request_standing::proven:
@@ -67,7 +67,7 @@
     return false;
 }
 
-std::vector<call_id> suspect_gate::release(millis now, const upstream_state_for_suspects &upstream, const standing_function &standingOf)
+std::vector<call_id> suspect_gate::release(millis now, const upstream_activity &upstream, const standing_function &standingOf)
 {
     // Step 1. End a hold that has lasted too long, or for which no suspect is left
     std::vector<std::pair<call_id, request_standing>> waiting;
