A request that has completed lately is not blamed for crashes with other causes

Cause: a crash at which all requests were known to complete made them lose that standing, so that the next ones counted against them. Meant for a request that begins to crash upstreams; but crashes with other causes are the ones that happen.

Change: nobody is blamed for such a crash. A request that begins to crash upstreams is found a minute after its last completed run.

--- a/packages/policy/include/turmericspar/policy/completed_requests.h
+++ b/packages/policy/include/turmericspar/policy/completed_requests.h
@@ -27,7 +27,6 @@
     static constexpr millis memory{60'000}; ///< how long a completed run counts
 
     void record(request_digest digest, millis now);
-    void forget(request_digest digest);
     /// @return when the request last ran to its end, if that still counts.
     std::optional<millis> lastRun(request_digest digest, millis now) const;
 
--- a/packages/policy/src/completed_requests.cpp
+++ b/packages/policy/src/completed_requests.cpp
@@ -22,13 +22,6 @@
     m_slots[digest % m_slotCount] = {digest, now};
 }
 
-void completed_requests::forget(request_digest digest)
-{
-    if (!m_slots.empty() && m_slots[digest % m_slotCount].digest == digest) {
-        m_slots[digest % m_slotCount] = {};
-    }
-}
-
 std::optional<millis> completed_requests::lastRun(request_digest digest, millis now) const
 {
     if (m_slots.empty()) {
--- a/packages/policy/src/suspects.cpp
+++ b/packages/policy/src/suspects.cpp
@@ -197,14 +197,7 @@
     report.candidates = candidates.size();
     report.beside = beside.size();
 
-    // Step 2. If all are known to complete, one of them may have changed: it has to complete again
-    if (candidates.empty() && beside.empty()) {
-        for (const auto digest : broken) {
-            m_completed.forget(digest);
-        }
-    }
-
-    // Step 3. Blame them
+    // Step 2. Blame them. If all are known to complete, the crash has another cause
     const bool alone = candidates.size() == 1 && beside.empty();
     for (const auto digest : candidates) {
         blame(digest, alone, now);
